--- /dev/null
+++ b/src/choice.cpp
@@ -0,0 +1,796 @@
+// Every decision of a gatekeeper. Callers hand each event to Gatekeeper::handle together with the time, in the
+// order in which things happened, and carry out the actions that come back, in their order. The interface is in
+// include/arrowstile/gatekeeper.hpp; docs/design.md tells what follows the design's source and what departs from it.
+//
+// The design: admits() decides at once from a cached two-window estimate; report() tells the counter of every
+// pass in the background, and its late reply refreshes the cache. Six mechanisms stand beside it:
+//   1 ranked fill: pick(), rerank(), learnLimit()      4 line of further tries: serveLine()
+//   2 health from silence and failures: judge()        5 guards for ceilings and open caps: underCeiling(), underCap()
+//   3 warm-up limits: coldLimit()                      6 trust in the counter: countAnswered(), report()
+#include <arrowstile/gatekeeper.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <numeric>
+
+namespace arrowstile {
+namespace {
+
+using Milliseconds = std::chrono::duration<double, std::milli>;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Span kTick = milliseconds(25);
+constexpr TimerToken kTickToken{1};
+
+constexpr double kWindowStretch = 1.0;  // window length over burst / rate
+constexpr double kProjected = 1.0;      // share of the others' recent rate that is believed to go on unseen
+constexpr Span kHeadroom = milliseconds(500);
+constexpr double kJitter = 0.5;
+constexpr Span kOpenEpoch = seconds(20);
+constexpr Span kLongestKeep = seconds(60);
+constexpr Span kCountPause = milliseconds(25);
+constexpr int kCountPauseDoublings = 4;
+
+constexpr double kFirstLimit = 4;
+constexpr double kShareHeadroom = 1.25;  // a worker's part of the demand, and how far above it is filled at first
+constexpr double kCrossing = 0.15;       // what another zone weighs in the ranking, in usual latencies
+constexpr double kWaitingWeight = 0.1;
+constexpr double kLateAt = 0.7, kEasyAt = 0.4;  // of the latency target
+
+constexpr double kSuspect = 4;  // phi: the present silence has a chance of 1 in 10^4
+constexpr double kBadShare = 0.3;
+constexpr std::size_t kJudgedFrom = 4;
+constexpr Span kBar = milliseconds(250);
+constexpr int kMostStrikes = 4;
+
+constexpr double kFurtherShare = 0.2, kFurtherStore = 15;
+constexpr Span kRoomAdvice = milliseconds(250);
+
+double ms(Span span) { return Milliseconds(span).count(); }
+
+std::uint64_t mixed(std::uint64_t value) {
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ull;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebull;
+    return value ^ (value >> 31);
+}
+
+/// PCG-XSH-RR, 64 bits of state, 32 of output.
+class Chance {
+public:
+    explicit Chance(std::uint64_t seed) : state_(mixed(seed)) {}
+    double unit() {
+        const std::uint64_t old = state_;
+        state_ = old * 6364136223846793005ull + 1442695040888963407ull;
+        const auto shifted = static_cast<std::uint32_t>(((old >> 18) ^ old) >> 27);
+        const auto turn = static_cast<unsigned>(old >> 59);
+        return ((shifted >> turn) | (shifted << ((32 - turn) & 31))) / 4294967296.0;
+    }
+
+private:
+    std::uint64_t state_;
+};
+
+/// The last few samples of a measurement.
+template <std::size_t most>
+class Recent {
+public:
+    void add(double sample) {
+        samples_[next_] = sample;
+        next_ = (next_ + 1) % most;
+        held_ = std::min(held_ + 1, most);
+    }
+    std::size_t size() const { return held_; }
+    double sum() const { return std::accumulate(samples_.begin(), samples_.begin() + held_, 0.0); }
+    double mean(double otherwise) const { return held_ > 0 ? sum() / static_cast<double>(held_) : otherwise; }
+    double most_of() const { return held_ > 0 ? *std::max_element(samples_.begin(), samples_.begin() + held_) : 0; }
+
+private:
+    std::array<double, most> samples_{};
+    std::size_t next_ = 0, held_ = 0;
+};
+
+struct RouteRow {
+    Effect effect;
+    RepeatScope scope;
+    Span repeatWindow, target;
+    Recent<64> latencies;
+};
+
+struct Worker {
+    WorkerEntry entry;
+    int out = 0;
+    double limit = kFirstLimit, share = 1;
+    Recent<16> slowness;  // latency over the route's usual one
+    Recent<16> bad;       // 1: no good answer
+    Recent<16> gaps;      // silences that ended, while something was out
+    Span quietSince{}, barredUntil{}, limitCutAt{};
+    int strikes = 0;
+    double waiting = 0, key = 1;
+};
+
+/// A count on the counter service as this gateway knows it.
+struct Count {
+    std::int64_t index = -1;
+    double total = 0, confirmed = 0;                // the last reply, and our own part of it
+    double calling = 0, unsent = 0, unknown = 0;    // our own that no reply holds yet
+    bool heard = false, callOut = false, due = false;  // due: holds a pass that has not been reported
+    Span heardAt{};
+    double use() const { return total + calling + unsent + unknown; }
+    double own() const { return confirmed + calling + unsent + unknown; }
+    double others() const { return heard ? std::max(0.0, total - confirmed) : 0; }
+};
+
+enum class Meaning : std::uint8_t { units, open };
+
+/// The two windows of the estimate, or two epochs of an open count.
+struct Pair {
+    Count current, previous;
+    Count *at(std::int64_t index) {
+        return current.index == index ? &current : previous.index == index ? &previous : nullptr;
+    }
+    void turnTo(std::int64_t index) {
+        if (index != current.index) {
+            previous = index == current.index + 1 ? current : Count{.index = index - 1};
+            current = Count{.index = index};
+        }
+    }
+};
+
+struct Customer {
+    PlanId plan;
+    unsigned gateways = 1;
+    Pair units, open;
+    int openHere = 0;
+    double ceilingLeft = 0;
+    Span ceilingAt{}, seenAt{};
+};
+
+struct Call {
+    RouteId route;
+    PlanId plan;
+    CustomerId customer;
+    double units = 1;
+    Span taken{}, until{};
+    unsigned tries = 0;
+    bool out = false, closed = false, mayHaveRun = false;
+    WorkerId worker{};
+    Span sentAt{}, maybeRanFrom{};
+    WorkerEntry maybeRanAt{};
+    std::int64_t openEpoch = -1;
+};
+
+struct CountCall {
+    CustomerId customer;
+    Meaning meaning;
+    std::int64_t index;
+    double amount;
+};
+
+}  // namespace
+
+struct Gatekeeper::Mind {
+    Mind(const SiteFacts &given, std::uint64_t seed) : facts(given), chance(seed) {
+        for (const Route &route : facts.routes) {
+            routes.push_back({route.effect, route.repeatScope, route.repeatWindow, route.latencyTarget, {}});
+        }
+    }
+
+    SiteFacts facts;
+    Chance chance;
+    std::vector<RouteRow> routes;
+    std::map<WorkerId, Worker> workers;
+    std::vector<WorkerId> ranked;
+    std::map<CallId, Call> calls;
+    std::map<CustomerId, Customer> customers;
+    std::map<CountName, CountCall> countCalls;
+    std::deque<CallId> line;
+    Recent<40> demand;
+    double furtherLeft = kFurtherStore;
+    int outHere = 0, countFailures = 0;
+    Span now{}, startedAt{}, countFrom{};
+    bool ticking = false;
+    std::vector<Action> actions;
+
+    std::vector<Action> handle(Span at, const Event &event) {
+        now = at;
+        actions.clear();
+        if (!ticking) {
+            ticking = true;
+            startedAt = now;
+            actions.push_back(SetTimer{now + kTick, kTickToken});
+        }
+        std::visit([this](const auto &what) { on(what); }, event);
+        return std::move(actions);
+    }
+
+    // ---- the design: the cached two-window estimate ----
+
+    const Plan &planOf(PlanId id) const {
+        static const Plan free;
+        return id.value < facts.plans.size() ? facts.plans[id.value] : free;
+    }
+
+    Span windowOf(const Plan &plan) const {
+        return Span{std::max<std::int64_t>(1, std::llround(kWindowStretch * plan.burst / plan.rate * 1e6))};
+    }
+
+    /// A phase for each customer, so that not all windows of a site turn at one moment.
+    Span phased(CustomerId id, Span length) const {
+        return now + Span{static_cast<std::int64_t>(mixed(id.value) % static_cast<std::uint64_t>(length.count()))};
+    }
+
+    Customer &customerOf(const CallTaken &rq) {
+        auto [at, fresh] = customers.try_emplace(rq.customer);
+        Customer &cons = at->second;
+        if (fresh) {
+            cons.ceilingAt = startedAt;
+        }
+        cons.plan = rq.plan;
+        cons.gateways = std::clamp(rq.gateways, 1u, facts.gateways);
+        cons.seenAt = now;
+        return cons;
+    }
+
+    bool admits(CustomerId id, Customer &cons, double units) {
+        const Plan &plan = planOf(cons.plan);
+        if (plan.rate <= 0 || plan.burst <= 0) {
+            return true;
+        }
+        const double limit = plan.rate * ms(windowOf(plan)) / 1000;
+        const bool blind = turn(id, cons);
+        if (blind) {
+            const double own = cons.units.current.own() + cons.units.previous.own();
+            return own <= 0 || own + units <= limit / cons.gateways;
+        }
+        return estimate(id, cons) + units <= limit;
+    }
+
+    /// Brings the windows up to now; true when neither has been heard of, so that only our share is safe.
+    bool turn(CustomerId id, Customer &cons) {
+        const Span length = windowOf(planOf(cons.plan));
+        cons.units.turnTo(phased(id, length) / length);
+        return !cons.units.current.heard && !cons.units.previous.heard;
+    }
+
+    double estimate(CustomerId id, const Customer &cons) const {
+        const Span length = windowOf(planOf(cons.plan)), into = phased(id, length) % length, start = now - into;
+        const Count &current = cons.units.current, &previous = cons.units.previous;
+        // Between replies the others go on: against totals a second old that let each gateway pass the limit alone.
+        const Span knownCurrent = current.heard ? current.heardAt - start : Span{};
+        const Span knownPrevious = previous.heard ? std::min(length, previous.heardAt - (start - length)) : Span{};
+        const double othersPerMs = (current.others() + previous.others()) /
+                                   std::max(ms(knownCurrent + knownPrevious), ms(length) / 4) * kProjected;
+        const double unseenCurrent = othersPerMs * ms(into - std::max(Span{}, knownCurrent));
+        const double unseenPrevious = othersPerMs * ms(length - knownPrevious);
+        const double elapsed = ms(into) / ms(length);
+        return current.use() + unseenCurrent + (previous.use() + unseenPrevious) * (1 - elapsed);
+    }
+
+    std::optional<Span> advice(double units, const Customer &cons) {
+        const Plan &plan = planOf(cons.plan);
+        const Span refill = plan.rate > 0 ? Span{std::llround(units / plan.rate * 1e6)} : Span{};
+        return spread(refill + kHeadroom);
+    }
+
+    std::optional<Span> spread(Span wait) {
+        if (!facts.mayAdvise) {
+            return std::nullopt;
+        }
+        const Span most = facts.longestAdvice;
+        const double jitter = 1 - kJitter * chance.unit();
+        return Span{std::llround(static_cast<double>(std::min(wait, most).count()) * jitter)};
+    }
+
+    // ---- 6: reports to the counter, and trust in it ----
+
+    CountName nameOf(CustomerId id, Meaning meaning, std::int64_t index) const {
+        return {mixed(mixed(id.value * 2 + static_cast<unsigned>(meaning)) ^ static_cast<std::uint64_t>(index))};
+    }
+
+    /// Tells the counter what it has not been told. Adds are joined while a call for that name is out or the
+    /// counter fails, since it goes on working on calls that nobody waits for; none is dropped.
+    void report(CustomerId id, Meaning meaning, Count &count, Span length) {
+        if (!facts.mayCount || count.index < 0 || count.callOut || !count.due || now < countFrom) {
+            return;
+        }
+        count.due = false;
+        if (count.unsent == 0) {
+            return;
+        }
+        const CountName name = nameOf(id, meaning, count.index);
+        countCalls[name] = {id, meaning, count.index, count.unsent};
+        actions.push_back(AddCount{name, count.unsent, std::min(kLongestKeep, 3 * length)});
+        count.calling = count.unsent;
+        count.unsent = 0;
+        count.callOut = true;
+        if (countFailures > 0) {
+            countFrom = now + kCountPause * (1 << std::min(countFailures, kCountPauseDoublings));
+        }
+    }
+
+    void reportAll(CustomerId id, Customer &cons) {
+        if (const Plan &plan = planOf(cons.plan); plan.rate > 0 && plan.burst > 0) {
+            report(id, Meaning::units, cons.units.current, windowOf(plan));
+            report(id, Meaning::units, cons.units.previous, windowOf(plan));
+        }
+        report(id, Meaning::open, cons.open.current, kOpenEpoch);
+        report(id, Meaning::open, cons.open.previous, kOpenEpoch);
+    }
+
+    void on(const CountAnswered &sum) {
+        const auto found = countCalls.find(sum.name);
+        if (found == countCalls.end()) {
+            return;
+        }
+        const CountCall call = found->second;
+        countCalls.erase(found);
+        const bool ok = sum.outcome == Outcome::answered;
+        countFailures = ok ? 0 : countFailures + 1;
+        countFrom = ok ? now : now + kCountPause * (1 << std::min(countFailures, kCountPauseDoublings));
+        const auto customer = customers.find(call.customer);
+        if (customer == customers.end()) {
+            return;
+        }
+        Customer &cons = customer->second;
+        Count *count = (call.meaning == Meaning::units ? cons.units : cons.open).at(call.index);
+        if (count == nullptr) {
+            return;
+        }
+        count->callOut = false;
+        count->calling = 0;
+        if (ok) {
+            // Answers for a name come in call order, so an add of unknown fate is in this total if it ever arrived.
+            count->confirmed += call.amount + count->unknown;
+            count->unknown = 0;
+            // A total below our own part has lost counts: what we know of goes on counting until the window turns.
+            count->total = std::max(sum.total, count->confirmed);
+            count->heard = true;
+            count->heardAt = now;
+        } else if (sum.outcome == Outcome::full || sum.outcome == Outcome::connectFailed) {
+            count->unsent += call.amount;
+            count->due = true;
+        } else {
+            count->unknown += call.amount;
+        }
+        reportAll(call.customer, cons);
+    }
+
+    // ---- 5: guards for ceilings and open caps ----
+
+    /// Each gateway owns an even part of the ceiling, empty at its start: a restart can't refill what it had spent.
+    bool underCeiling(Customer &cons, double units) {
+        const Plan &plan = planOf(cons.plan);
+        if (plan.ceilingRate <= 0) {
+            return true;
+        }
+        const double part = 1.0 / cons.gateways;
+        cons.ceilingLeft = std::min(plan.ceilingBurst * part,
+                                    cons.ceilingLeft + plan.ceilingRate * part * ms(now - cons.ceilingAt) / 1000);
+        cons.ceilingAt = now;
+        return cons.ceilingLeft >= units;
+    }
+
+    double usualLatency() const {
+        double sum = 0;
+        for (const RouteRow &row : routes) {
+            sum += row.latencies.mean(ms(row.target) / 4);
+        }
+        return sum / static_cast<double>(std::max<std::size_t>(1, routes.size()));
+    }
+
+    bool underCap(CustomerId id, Customer &cons) {
+        const Plan &plan = planOf(cons.plan);
+        if (plan.openCap == 0) {
+            return true;
+        }
+        cons.open.turnTo(phased(id, kOpenEpoch) / kOpenEpoch);
+        double others = 0;
+        for (const Count *count : {&cons.open.current, &cons.open.previous}) {
+            // Tries end: what the others had open when we last heard fades with the usual latency.
+            others += count->others() * std::exp(-ms(now - count->heardAt) / usualLatency());
+        }
+        return cons.openHere + others < plan.openCap;
+    }
+
+    void countOpen(Call &rq, CustomerId id, int step) {
+        const auto found = customers.find(id);
+        if (found == customers.end() || planOf(rq.plan).openCap == 0) {
+            return;
+        }
+        Customer &cons = found->second;
+        cons.open.turnTo(phased(id, kOpenEpoch) / kOpenEpoch);
+        cons.openHere = std::max(0, cons.openHere + step);
+        if (step > 0) {
+            rq.openEpoch = cons.open.current.index;
+        }
+        if (Count *count = cons.open.at(rq.openEpoch)) {
+            count->unsent += step;
+            count->due = true;
+            report(id, Meaning::open, *count, kOpenEpoch);
+        }
+    }
+
+    // ---- API calls and upstream tries ----
+
+    void on(const CallTaken &taken) {
+        if (calls.contains(taken.call)) {
+            return;
+        }
+        if (taken.route.value >= routes.size()) {
+            actions.push_back(GiveError{taken.call});
+            return;
+        }
+        Customer &cons = customerOf(taken);
+        if (!admits(taken.customer, cons, taken.units) || !underCap(taken.customer, cons) ||
+            !underCeiling(cons, taken.units)) {
+            actions.push_back(RateLimit{taken.call, advice(taken.units, cons)});
+            return;
+        }
+        Call rq{.route = taken.route, .plan = taken.plan, .customer = taken.customer, .units = taken.units};
+        rq.taken = now;
+        rq.until = now + taken.left;
+        const auto worker = pick(rq);
+        if (!worker) {
+            actions.push_back(RateLimit{taken.call, spread(kRoomAdvice)});
+            return;
+        }
+        const Plan &plan = planOf(cons.plan);
+        cons.ceilingLeft -= taken.units;
+        furtherLeft = std::min(kFurtherStore, furtherLeft + kFurtherShare);
+        send(taken.call, calls[taken.call] = rq, *worker);
+        if (plan.rate > 0 && plan.burst > 0) {
+            cons.units.current.unsent += taken.units;
+            cons.units.current.due = true;
+            report(taken.customer, Meaning::units, cons.units.current, windowOf(plan));
+        }
+    }
+
+    void send(CallId id, Call &rq, WorkerId to) {
+        Worker &worker = workers.at(to);
+        if (worker.out++ == 0) {
+            worker.quietSince = now;
+        }
+        ++outHere;
+        ++rq.tries;
+        rq.out = true;
+        rq.worker = to;
+        rq.sentAt = now;
+        // On trial a worker gets only what may be asked again, and little time: against one that never answers.
+        const bool trial = onTrial(worker) && mayRepeat(rq);
+        const Span patience = std::max(facts.connectTimeout, routes[rq.route.value].target / 3);
+        actions.push_back(SendTry{id, to, trial ? std::min(rq.until, now + patience) : rq.until});
+        countOpen(rq, rq.customer, 1);
+    }
+
+    bool mayRepeat(const Call &rq) const { return routes[rq.route.value].effect != Effect::nonIdempotent; }
+
+    void on(const TryEnded &ended) {
+        if (const auto found = workers.find(ended.worker); found != workers.end()) {
+            learn(found->second, ended);
+        }
+        const auto found = calls.find(ended.call);
+        if (found == calls.end() || !found->second.out) {
+            return;
+        }
+        Call &rq = found->second;
+        rq.out = false;
+        --outHere;
+        const bool neverRan = ended.outcome == Outcome::full || ended.outcome == Outcome::connectFailed ||
+                              ended.outcome == Outcome::notSent;
+        if (const auto at = workers.find(ended.worker); at != workers.end()) {
+            at->second.out = std::max(0, at->second.out - 1);
+            if (!neverRan && !rq.mayHaveRun) {
+                rq.mayHaveRun = true;
+                rq.maybeRanFrom = rq.sentAt;
+                rq.maybeRanAt = at->second.entry;
+            }
+        }
+        countOpen(rq, rq.customer, -1);
+        settle(rq, ended);
+        if (rq.closed || ended.callClosed) {
+            calls.erase(found);
+        } else if (mayTryAgain(rq)) {
+            line.push_back(ended.call);
+        } else {
+            finish(ended.call, rq);
+        }
+        serveLine();
+    }
+
+    /// Guessed units are put right in the estimate at once, and at the counter with the next add.
+    void settle(const Call &rq, const TryEnded &ended) {
+        const Plan &plan = planOf(rq.plan);
+        const auto found = customers.find(rq.customer);
+        if (ended.trueUnits && found != customers.end() && plan.rate > 0 && plan.burst > 0) {
+            turn(rq.customer, found->second);
+            found->second.units.current.unsent += *ended.trueUnits - rq.units;
+        }
+    }
+
+    void on(const TryFlowing &flowing) {
+        if (const auto found = workers.find(flowing.worker); found != workers.end()) {
+            found->second.quietSince = now;
+        }
+    }
+
+    void on(const ClientGone &gone) {
+        const auto found = calls.find(gone.call);
+        if (found == calls.end()) {
+            return;
+        }
+        found->second.closed = true;
+        if (!found->second.out) {
+            calls.erase(found);
+        } else if (facts.mayCancel) {
+            actions.push_back(CallOffTry{gone.call, tryNumber(found->second)});
+        }
+    }
+
+    TryNumber tryNumber(const Call &rq) const { return {static_cast<std::uint8_t>(rq.tries - 1)}; }
+
+    /// The final answer, given as soon as nothing more will be tried.
+    void finish(CallId id, const Call &rq) {
+        const RouteRow &row = routes[rq.route.value];
+        const bool harmless = !rq.mayHaveRun || row.effect == Effect::idempotent ||
+                              (row.effect == Effect::tokened && row.scope == RepeatScope::all &&
+                               now < rq.maybeRanFrom + row.repeatWindow);
+        if (harmless) {
+            actions.push_back(RateLimit{id, spread(kRoomAdvice)});
+        } else {
+            actions.push_back(GiveError{id});
+        }
+        calls.erase(id);
+    }
+
+    // ---- 4: the line of further tries ----
+
+    bool mayTryAgain(const Call &rq) const {
+        const RouteRow &row = routes[rq.route.value];
+        if (rq.tries >= facts.mostTries || now >= std::min(rq.taken + row.target, rq.until - 2 * kTick)) {
+            return false;
+        }
+        return !rq.mayHaveRun || row.effect == Effect::idempotent ||
+               (row.effect == Effect::tokened && now < rq.maybeRanFrom + row.repeatWindow);
+    }
+
+    bool inScope(const Call &rq, const Worker &worker) const {
+        const RouteRow &row = routes[rq.route.value];
+        if (!rq.mayHaveRun || row.effect != Effect::tokened || row.scope == RepeatScope::all) {
+            return true;
+        }
+        return row.scope == RepeatScope::zone ? worker.entry.zone == rq.maybeRanAt.zone
+                                              : worker.entry.cell == rq.maybeRanAt.cell;
+    }
+
+    void serveLine() {
+        for (std::size_t waiting = line.size(); waiting > 0; --waiting) {
+            const CallId id = line.front();
+            line.pop_front();
+            const auto found = calls.find(id);
+            if (found == calls.end()) {
+                continue;
+            }
+            Call &rq = found->second;
+            if (!mayTryAgain(rq)) {
+                finish(id, rq);
+                continue;
+            }
+            const auto worker = furtherLeft >= 1 ? pick(rq) : std::nullopt;
+            if (worker) {
+                furtherLeft -= 1;
+                send(id, rq, *worker);
+            } else {
+                line.push_back(id);
+            }
+        }
+    }
+
+    // ---- 1: ranked fill ----
+
+    std::optional<WorkerId> pick(const Call &rq) const {
+        for (const bool beyondShare : {false, true}) {
+            for (const WorkerId id : ranked) {
+                const Worker &worker = workers.at(id);
+                const double most = beyondShare ? limitOf(worker) : std::min(worker.share, limitOf(worker));
+                const bool again = rq.tries > 0 && rq.worker == id && ranked.size() > 1;
+                if (worker.entry.state == WorkerState::ready && worker.out < most && !again &&
+                    now >= worker.barredUntil && inScope(rq, worker) && (!onTrial(worker) || mayRepeat(rq))) {
+                    return id;
+                }
+            }
+        }
+        return std::nullopt;
+    }
+
+    double limitOf(const Worker &worker) const {
+        return onTrial(worker) ? 1 : std::min(worker.limit, coldLimit(worker));
+    }
+
+    void rerank() {
+        demand.add(outHere);
+        ranked.clear();
+        double weights = 0;
+        for (auto &[id, worker] : workers) {
+            if (worker.entry.state != WorkerState::ready) {
+                continue;
+            }
+            ranked.push_back(id);
+            const double slow = std::clamp(worker.slowness.mean(1), 0.25, 4.0);
+            worker.key = slow + (worker.entry.zone == facts.zone ? 0 : kCrossing) + kWaitingWeight * worker.waiting;
+            worker.share = 1 / slow;
+            weights += worker.share;
+        }
+        for (const WorkerId id : ranked) {
+            Worker &worker = workers.at(id);
+            worker.share = std::ceil(kShareHeadroom * demand.most_of() * worker.share / weights);
+            worker.share = std::max(1.0, worker.share);
+        }
+        std::stable_sort(ranked.begin(), ranked.end(),
+                         [this](WorkerId a, WorkerId b) { return workers.at(a).key < workers.at(b).key; });
+    }
+
+    void learnLimit(Worker &worker, double latency, double target) {
+        if (latency > kLateAt * target) {
+            if (now - worker.limitCutAt > Span{std::llround(latency * 1000)}) {
+                worker.limit = std::max(1.0, worker.limit * 0.85);
+                worker.limitCutAt = now;
+            }
+        } else if (latency < kEasyAt * target && worker.out >= 0.7 * worker.limit) {
+            worker.limit += 1 / worker.limit;
+        }
+    }
+
+    // ---- 2: health ----
+
+    bool onTrial(const Worker &worker) const {
+        return worker.strikes > 0 || (worker.bad.size() >= kJudgedFrom && worker.bad.mean(0) > kBadShare);
+    }
+
+    void strike(Worker &worker) {
+        worker.strikes = std::min(worker.strikes + 1, kMostStrikes);
+        worker.barredUntil = now + kBar * (1 << (worker.strikes - 1));
+    }
+
+    void learn(Worker &worker, const TryEnded &ended) {
+        for (std::size_t i = 0; i < std::min(ended.load.size(), facts.loadColumns.size()); ++i) {
+            if (facts.loadColumns[i] == LoadFigure::waiting) {
+                worker.waiting = ended.load[i];
+            }
+        }
+        const auto rq = calls.find(ended.call);
+        switch (ended.outcome) {
+            case Outcome::answered:
+                worker.bad.add(0);
+                worker.strikes = std::max(0, worker.strikes - 1);
+                if (rq != calls.end()) {
+                    RouteRow &row = routes[rq->second.route.value];
+                    row.latencies.add(ms(ended.latency));
+                    worker.slowness.add(ms(ended.latency) / std::max(0.1, row.latencies.mean(1)));
+                    learnLimit(worker, ms(ended.latency), ms(row.target));
+                }
+                break;
+            case Outcome::errored:
+                worker.bad.add(1);
+                if (onTrial(worker)) {
+                    strike(worker);
+                }
+                break;
+            case Outcome::full:
+                worker.limit = std::max(1.0, std::min(worker.limit, worker.out - 1.0));
+                worker.barredUntil = std::max(worker.barredUntil, now + kBar / 2);
+                break;
+            case Outcome::timedOut:
+                worker.bad.add(1);
+                if (onTrial(worker)) {
+                    strike(worker);
+                }
+                break;
+            case Outcome::connectFailed:
+            case Outcome::reset: strike(worker); break;
+            case Outcome::calledOff:
+            case Outcome::notSent: break;
+        }
+        if (ended.outcome == Outcome::answered || ended.outcome == Outcome::errored) {
+            worker.gaps.add(ms(now - worker.quietSince));
+            worker.quietSince = now;
+        }
+    }
+
+    /// Phi accrual: how unlikely the present silence is, given the gaps before. Catches a worker that hangs, is cut
+    /// off or stalls, whatever the cause. With most of them silent the fault is not theirs, and none is thrown out.
+    void judge() {
+        std::vector<WorkerId> silent;
+        for (auto &[id, worker] : workers) {
+            if (worker.out > 0 && worker.strikes == 0 && worker.gaps.size() >= kJudgedFrom) {
+                const double phi = ms(now - worker.quietSince) / std::max(1.0, worker.gaps.mean(1)) / std::log(10.0);
+                if (phi > kSuspect) {
+                    silent.push_back(id);
+                }
+            }
+        }
+        if (2 * silent.size() > ranked.size()) {
+            return;
+        }
+        for (const WorkerId id : silent) {
+            strike(workers.at(id));
+            for (auto &[call, rq] : calls) {
+                if (rq.out && rq.worker == id && mayRepeat(rq) && !rq.closed && facts.mayCancel) {
+                    actions.push_back(CallOffTry{call, tryNumber(rq)});
+                }
+            }
+        }
+    }
+
+    // ---- 3: warm-up ----
+
+    /// A cold worker completes no more than it can do, so what is out bounds what is sent: all gateways together may
+    /// have (multiple - 1) x capacity x span of work out at once, each its even part, reckoned for a single core.
+    double coldLimit(const Worker &worker) const {
+        const Span age = now - worker.entry.startedAt;
+        if (worker.entry.startedAt == Span{} || age >= facts.warmUp) {
+            return worker.limit;
+        }
+        const double warm = std::max(0.0, ms(age) / ms(facts.warmUp));
+        const double capacity = facts.coldShare + (1 - facts.coldShare) * warm;
+        const double work = (facts.fallMultiple - 1) * capacity * ms(facts.fallSpan);
+        return std::max(1.0, std::floor(work / usualLatency() / facts.gateways));
+    }
+
+    // ---- the list of workers, timers, and what this version has no use for ----
+
+    void on(const WorkerListed &news) {
+        if (news.how == ListNews::failed) {
+            return;
+        }
+        if (news.how != ListNews::changes) {
+            for (auto &[id, worker] : workers) {
+                worker.entry.state = WorkerState::gone;
+            }
+        }
+        for (const WorkerEntry &entry : news.workers) {
+            Worker &worker = workers[entry.worker];
+            if (worker.entry.startedAt != entry.startedAt) {
+                const int out = worker.out;
+                worker = Worker{};  // another process: nothing that was learned of the last one holds
+                worker.out = out;
+                worker.quietSince = now;
+            }
+            worker.entry = entry;
+        }
+        rerank();
+    }
+
+    void on(const TimerFired &fired) {
+        if (fired.token != kTickToken) {
+            return;
+        }
+        judge();
+        rerank();
+        serveLine();
+        for (auto at = customers.begin(); at != customers.end();) {
+            auto &[id, cons] = *at;
+            reportAll(id, cons);
+            const Plan &plan = planOf(cons.plan);
+            const Span idle = plan.rate > 0 && plan.burst > 0 ? 2 * windowOf(plan) : 2 * kOpenEpoch;
+            const bool over = now - cons.seenAt > idle && cons.openHere == 0 && plan.ceilingRate <= 0;
+            at = over ? customers.erase(at) : std::next(at);
+        }
+        actions.push_back(SetTimer{now + kTick, kTickToken});
+    }
+
+    void on(const ProbeEnded &) {}
+    void on(const PeerHeard &) {}
+};
+
+Gatekeeper::Gatekeeper(const SiteFacts &facts, std::uint64_t seed) : mind_(std::make_unique<Mind>(facts, seed)) {}
+Gatekeeper::~Gatekeeper() = default;
+Gatekeeper::Gatekeeper(Gatekeeper &&) noexcept = default;
+Gatekeeper &Gatekeeper::operator=(Gatekeeper &&) noexcept = default;
+
+std::vector<Action> Gatekeeper::handle(Span now, const Event &event) { return mind_->handle(now, event); }
+
+}  // namespace arrowstile
