--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -26,7 +26,7 @@
 constexpr Span kTick = milliseconds(25);
 constexpr TimerToken kTickToken{1};
 
-constexpr double kWindowStretch = 1.0;  // window length over burst / rate
+constexpr double kWindowStretch = 3.0;  // window length over burst / rate
 constexpr double kProjected = 1.0;      // share of the others' recent rate that is believed to go on unseen
 constexpr Span kHeadroom = milliseconds(500);
 constexpr double kJitter = 0.5;
