--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -26,7 +26,7 @@
 constexpr Span kTick = milliseconds(25);
 constexpr TimerToken kTickToken{1};
 
-constexpr double kWindowStretch = 3.0;  // window length over burst / rate
+constexpr double kWindowStretch = 1.0;  // window length over burst / rate
 constexpr double kProjected = 1.0;      // share of the others' recent rate that is believed to go on unseen
 constexpr Span kHeadroom = milliseconds(500);
 constexpr double kJitter = 0.5;
@@ -118,7 +118,8 @@
     double total = 0, confirmed = 0;                // the last reply, and our own part of it
     double calling = 0, unsent = 0, unknown = 0;    // our own that no reply holds yet
     bool heard = false, callOut = false, due = false;  // due: holds a pass that has not been reported
-    Span heardAt{};
+    Span heardAt{}, heardFor{};  // the last reply, and how much of the window it covers
+    double booked = 0;  // the others' part that the refilled store below has taken in
     double use() const { return total + calling + unsent + unknown; }
     double own() const { return confirmed + calling + unsent + unknown; }
     double others() const { return heard ? std::max(0.0, total - confirmed) : 0; }
@@ -145,6 +146,8 @@
     unsigned gateways = 1;
     Pair units, open;
     int openHere = 0;
+    double refilled = 0, guessed = 0;  // the quota's store as far as it is known, and the others' use guessed into it
+    Span refilledAt{};
     double ceilingLeft = 0;
     Span ceilingAt{}, seenAt{};
 };
@@ -228,6 +231,8 @@
         Customer &cons = at->second;
         if (fresh) {
             cons.ceilingAt = startedAt;
+            cons.refilledAt = now;
+            cons.refilled = planOf(rq.plan).burst;
         }
         cons.plan = rq.plan;
         cons.gateways = std::clamp(rq.gateways, 1u, facts.gateways);
@@ -246,27 +251,38 @@
             const double own = cons.units.current.own() + cons.units.previous.own();
             return own <= 0 || own + units <= limit / cons.gateways;
         }
-        return estimate(id, cons) + units <= limit;
+        // The estimate lets the past fade in proportion, the quota fills at its rate: a customer whose burst is over
+        // would be refused with half of its quota unused. There, and only there, the refilled store has the last word.
+        return (estimate(id, cons) + units <= limit) >= 0 && cons.refilled >= units;
     }
 
-    /// Brings the windows up to now; true when neither has been heard of, so that only our share is safe.
+    /// The others' use a millisecond, as the last totals tell it; never above the rate, as they are held to it too.
+    double othersPerMs(const Customer &cons, Span length) const {
+        const Count &current = cons.units.current, &previous = cons.units.previous;
+        const Span known = (current.heard ? current.heardFor : Span{}) + (previous.heard ? previous.heardFor : Span{});
+        return kProjected * std::min((current.others() + previous.others()) / std::max(ms(known), ms(length) / 4),
+                                     planOf(cons.plan).rate / 1000);
+    }
+
+    /// Brings windows and store up to now; true when neither window has been heard of, so that only our share is safe.
     bool turn(CustomerId id, Customer &cons) {
-        const Span length = windowOf(planOf(cons.plan));
+        const Plan &plan = planOf(cons.plan);
+        const Span length = windowOf(plan);
         cons.units.turnTo(phased(id, length) / length);
+        const double passed = ms(now - cons.refilledAt), others = othersPerMs(cons, length) * passed;
+        cons.refilled = std::min(plan.burst, cons.refilled + plan.rate / 1000 * passed - others);
+        cons.guessed += others;
+        cons.refilledAt = now;
         return !cons.units.current.heard && !cons.units.previous.heard;
     }
 
     double estimate(CustomerId id, const Customer &cons) const {
-        const Span length = windowOf(planOf(cons.plan)), into = phased(id, length) % length, start = now - into;
+        const Span length = windowOf(planOf(cons.plan)), into = phased(id, length) % length;
         const Count &current = cons.units.current, &previous = cons.units.previous;
         // Between replies the others go on: against totals a second old that let each gateway pass the limit alone.
-        const Span knownCurrent = current.heard ? current.heardAt - start : Span{};
-        const Span knownPrevious = previous.heard ? std::min(length, previous.heardAt - (start - length)) : Span{};
-        const double othersPerMs = (current.others() + previous.others()) /
-                                   std::max(ms(knownCurrent + knownPrevious), ms(length) / 4) * kProjected;
-        const double unseenCurrent = othersPerMs * ms(into - std::max(Span{}, knownCurrent));
-        const double unseenPrevious = othersPerMs * ms(length - knownPrevious);
-        const double elapsed = ms(into) / ms(length);
+        const double perMs = othersPerMs(cons, length), elapsed = ms(into) / ms(length);
+        const double unseenCurrent = perMs * ms(into - current.heardFor);
+        const double unseenPrevious = perMs * ms(length - previous.heardFor);
         return current.use() + unseenCurrent + (previous.use() + unseenPrevious) * (1 - elapsed);
     }
 
@@ -350,6 +366,14 @@
             count->total = std::max(sum.total, count->confirmed);
             count->heard = true;
             count->heardAt = now;
+            if (call.meaning == Meaning::units) {
+                const Span length = windowOf(planOf(cons.plan)), into = phased(call.customer, length) % length;
+                count->heardFor = count == &cons.units.current ? into : length;
+                turn(call.customer, cons);
+                cons.refilled -= count->others() - count->booked - cons.guessed;
+                count->booked = count->others();
+                cons.guessed = 0;
+            }
         } else if (sum.outcome == Outcome::full || sum.outcome == Outcome::connectFailed) {
             count->unsent += call.amount;
             count->due = true;
@@ -443,6 +467,7 @@
         furtherLeft = std::min(kFurtherStore, furtherLeft + kFurtherShare);
         send(taken.call, calls[taken.call] = rq, *worker);
         if (plan.rate > 0 && plan.burst > 0) {
+            cons.refilled -= taken.units;
             cons.units.current.unsent += taken.units;
             cons.units.current.due = true;
             report(taken.customer, Meaning::units, cons.units.current, windowOf(plan));
@@ -507,6 +532,7 @@
         const auto found = customers.find(rq.customer);
         if (ended.trueUnits && found != customers.end() && plan.rate > 0 && plan.burst > 0) {
             turn(rq.customer, found->second);
+            found->second.refilled -= *ended.trueUnits - rq.units;
             found->second.units.current.unsent += *ended.trueUnits - rq.units;
         }
     }
