Read totals again near the quota; admit from the refilled store

Cause: a refused customer reports nothing, so its totals stood still while other gateways passed more. Reads on arrival near the quota, up to ten a second for a customer, and a store fed by the same totals that admits what the fading estimate refuses too long.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -28,6 +28,8 @@
 
 constexpr double kWindowStretch = 1.0;  // window length over burst / rate
 constexpr double kProjected = 1.0;      // share of the others' recent rate that is believed to go on unseen
+constexpr double kNearQuota = 0.5;
+constexpr Span kRefresh = milliseconds(100);
 constexpr Span kHeadroom = milliseconds(500);
 constexpr double kJitter = 0.5;
 constexpr Span kOpenEpoch = seconds(20);
@@ -253,7 +255,7 @@
         }
         // The estimate lets the past fade in proportion, the quota fills at its rate: a customer whose burst is over
         // would be refused with half of its quota unused. There, and only there, the refilled store has the last word.
-        return (estimate(id, cons) + units <= limit) >= 0 && cons.refilled >= units;
+        return estimate(id, cons) + units <= limit || cons.refilled >= units;
     }
 
     /// The others' use a millisecond, as the last totals tell it; never above the rate, as they are held to it too.
@@ -309,12 +311,12 @@
 
     /// Tells the counter what it has not been told. Adds are joined while a call for that name is out or the
     /// counter fails, since it goes on working on calls that nobody waits for; none is dropped.
-    void report(CustomerId id, Meaning meaning, Count &count, Span length) {
-        if (!facts.mayCount || count.index < 0 || count.callOut || !count.due || now < countFrom) {
+    void report(CustomerId id, Meaning meaning, Count &count, Span length, bool read = false) {
+        if (!facts.mayCount || count.index < 0 || count.callOut || !(count.due || read) || now < countFrom) {
             return;
         }
         count.due = false;
-        if (count.unsent == 0) {
+        if (count.unsent == 0 && !read) {
             return;
         }
         const CountName name = nameOf(id, meaning, count.index);
@@ -328,6 +330,18 @@
         }
     }
 
+    /// A refused customer reports nothing, so its totals would stand still while the other gateways go on passing:
+    /// near the quota they are read again, at most so often and only when the customer asks.
+    void refresh(CustomerId id, Customer &cons) {
+        const Plan &plan = planOf(cons.plan);
+        if (plan.rate <= 0 || plan.burst <= 0 || cons.refilled > kNearQuota * plan.burst) {
+            return;
+        }
+        Count &current = cons.units.current, &previous = cons.units.previous;
+        report(id, Meaning::units, current, windowOf(plan), now - current.heardAt > kRefresh);
+        report(id, Meaning::units, previous, windowOf(plan), previous.heard && previous.heardFor < windowOf(plan));
+    }
+
     void reportAll(CustomerId id, Customer &cons) {
         if (const Plan &plan = planOf(cons.plan); plan.rate > 0 && plan.burst > 0) {
             report(id, Meaning::units, cons.units.current, windowOf(plan));
@@ -452,6 +466,7 @@
         if (!admits(taken.customer, cons, taken.units) || !underCap(taken.customer, cons) ||
             !underCeiling(cons, taken.units)) {
             actions.push_back(RateLimit{taken.call, advice(taken.units, cons)});
+            refresh(taken.customer, cons);
             return;
         }
         Call rq{.route = taken.route, .plan = taken.plan, .customer = taken.customer, .units = taken.units};
@@ -471,6 +486,7 @@
             cons.units.current.unsent += taken.units;
             cons.units.current.due = true;
             report(taken.customer, Meaning::units, cons.units.current, windowOf(plan));
+            refresh(taken.customer, cons);
         }
     }
 
