Rank workers by what is out and how slow they answer, one more a tick each

Cause: filling from the top to a share of the demand queued on the first workers while others idled.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -38,9 +38,7 @@
 constexpr int kCountPauseDoublings = 4;
 
 constexpr double kFirstLimit = 4;
-constexpr double kShareHeadroom = 1.25;  // a worker's part of the demand, and how far above it is filled at first
 constexpr double kCrossing = 0.15;       // what another zone weighs in the ranking, in usual latencies
-constexpr double kWaitingWeight = 0.1;
 constexpr double kLateAt = 0.7, kEasyAt = 0.4;  // of the latency target
 
 constexpr double kSuspect = 4;  // phi: the present silence has a chance of 1 in 10^4
@@ -88,7 +86,6 @@
     std::size_t size() const { return held_; }
     double sum() const { return std::accumulate(samples_.begin(), samples_.begin() + held_, 0.0); }
     double mean(double otherwise) const { return held_ > 0 ? sum() / static_cast<double>(held_) : otherwise; }
-    double most_of() const { return held_ > 0 ? *std::max_element(samples_.begin(), samples_.begin() + held_) : 0; }
 
 private:
     std::array<double, most> samples_{};
@@ -111,7 +108,7 @@
     Recent<16> gaps;      // silences that ended, while something was out
     Span quietSince{}, barredUntil{}, limitCutAt{};
     int strikes = 0;
-    double waiting = 0, key = 1;
+    double others = 0, key = 1;  // what the last load report shows beyond our own, and the rank
 };
 
 /// A count on the counter service as this gateway knows it.
@@ -193,9 +190,8 @@
     std::map<CustomerId, Customer> customers;
     std::map<CountName, CountCall> countCalls;
     std::deque<CallId> line;
-    Recent<40> demand;
     double furtherLeft = kFurtherStore;
-    int outHere = 0, countFailures = 0;
+    int countFailures = 0;
     Span now{}, startedAt{}, countFrom{};
     bool ticking = false;
     std::vector<Action> actions;
@@ -429,7 +425,7 @@
         double others = 0;
         for (const Count *count : {&cons.open.current, &cons.open.previous}) {
             // Tries end: what the others had open when we last heard fades with the usual latency.
-            others += count->others() * std::exp(-ms(now - count->heardAt) / usualLatency());
+            others += count->others() * std::exp(-ms(now - count->heardAt) / usualLatency() / 3);
         }
         return cons.openHere + others < plan.openCap;
     }
@@ -495,7 +491,6 @@
         if (worker.out++ == 0) {
             worker.quietSince = now;
         }
-        ++outHere;
         ++rq.tries;
         rq.out = true;
         rq.worker = to;
@@ -519,7 +514,6 @@
         }
         Call &rq = found->second;
         rq.out = false;
-        --outHere;
         const bool neverRan = ended.outcome == Outcome::full || ended.outcome == Outcome::connectFailed ||
                               ended.outcome == Outcome::notSent;
         if (const auto at = workers.find(ended.worker); at != workers.end()) {
@@ -653,23 +647,15 @@
     }
 
     void rerank() {
-        demand.add(outHere);
         ranked.clear();
-        double weights = 0;
         for (auto &[id, worker] : workers) {
             if (worker.entry.state != WorkerState::ready) {
                 continue;
             }
             ranked.push_back(id);
             const double slow = std::clamp(worker.slowness.mean(1), 0.25, 4.0);
-            worker.key = slow + (worker.entry.zone == facts.zone ? 0 : kCrossing) + kWaitingWeight * worker.waiting;
-            worker.share = 1 / slow;
-            weights += worker.share;
-        }
-        for (const WorkerId id : ranked) {
-            Worker &worker = workers.at(id);
-            worker.share = std::ceil(kShareHeadroom * demand.most_of() * worker.share / weights);
-            worker.share = std::max(1.0, worker.share);
+            worker.key = slow * (1 + worker.out + worker.others) + (worker.entry.zone == facts.zone ? 0 : kCrossing);
+            worker.share = worker.out + 1;
         }
         std::stable_sort(ranked.begin(), ranked.end(),
                          [this](WorkerId a, WorkerId b) { return workers.at(a).key < workers.at(b).key; });
@@ -699,8 +685,10 @@
 
     void learn(Worker &worker, const TryEnded &ended) {
         for (std::size_t i = 0; i < std::min(ended.load.size(), facts.loadColumns.size()); ++i) {
-            if (facts.loadColumns[i] == LoadFigure::waiting) {
-                worker.waiting = ended.load[i];
+            if (facts.loadColumns[i] == LoadFigure::inHand) {
+                worker.others = std::max(0.0, ended.load[i] - worker.out);
+            } else if (facts.loadColumns[i] == LoadFigure::waiting) {
+                worker.others = ended.load[i];
             }
         }
         const auto rq = calls.find(ended.call);
