Hold an API call for the counted answer where the open cap was lately full

Cause: an open cap turns over within one try's latency, faster than any cache; gateways passed each other's room. With the cap lately full the try is counted first and decided on the counter's answer, or by an even share if none comes.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -23,7 +23,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr Span kTick = milliseconds(25);
+constexpr Span kTick = milliseconds(10);
 constexpr TimerToken kTickToken{1};
 
 constexpr double kWindowStretch = 1.0;  // window length over burst / rate
@@ -32,6 +32,7 @@
 constexpr Span kRefresh = milliseconds(100);
 constexpr Span kHeadroom = milliseconds(500);
 constexpr double kJitter = 0.5;
+constexpr Span kFullFor = seconds(3);
 constexpr Span kOpenEpoch = seconds(20);
 constexpr Span kLongestKeep = seconds(60);
 constexpr Span kCountPause = milliseconds(25);
@@ -108,7 +109,7 @@
     Recent<16> gaps;      // silences that ended, while something was out
     Span quietSince{}, barredUntil{}, limitCutAt{};
     int strikes = 0;
-    double others = 0, key = 1;  // what the last load report shows beyond our own, and the rank
+    double key = 1;
 };
 
 /// A count on the counter service as this gateway knows it.
@@ -145,6 +146,9 @@
     unsigned gateways = 1;
     Pair units, open;
     int openHere = 0;
+    Span fullAt{};  // when the open cap was last found full
+    std::deque<CallId> held;
+    std::size_t heldInCall = 0;
     double refilled = 0, guessed = 0;  // the quota's store as far as it is known, and the others' use guessed into it
     Span refilledAt{};
     double ceilingLeft = 0;
@@ -158,7 +162,7 @@
     double units = 1;
     Span taken{}, until{};
     unsigned tries = 0;
-    bool out = false, closed = false, mayHaveRun = false;
+    bool out = false, held = false, closed = false, mayHaveRun = false;
     WorkerId worker{};
     Span sentAt{}, maybeRanFrom{};
     WorkerEntry maybeRanAt{};
@@ -240,9 +244,7 @@
 
     bool admits(CustomerId id, Customer &cons, double units) {
         const Plan &plan = planOf(cons.plan);
-        if (plan.rate <= 0 || plan.burst <= 0) {
-            return true;
-        }
+        if (plan.rate <= 0 || plan.burst <= 0) return true;
         const double limit = plan.rate * ms(windowOf(plan)) / 1000;
         const bool blind = turn(id, cons);
         if (blind) {
@@ -291,9 +293,7 @@
     }
 
     std::optional<Span> spread(Span wait) {
-        if (!facts.mayAdvise) {
-            return std::nullopt;
-        }
+        if (!facts.mayAdvise) return std::nullopt;
         const Span most = facts.longestAdvice;
         const double jitter = 1 - kJitter * chance.unit();
         return Span{std::llround(static_cast<double>(std::min(wait, most).count()) * jitter)};
@@ -312,15 +312,15 @@
             return;
         }
         count.due = false;
-        if (count.unsent == 0 && !read) {
-            return;
-        }
+        const bool asked = meaning == Meaning::open && !customers.at(id).held.empty();
+        if (count.unsent == 0 && !read && !asked) return;
         const CountName name = nameOf(id, meaning, count.index);
         countCalls[name] = {id, meaning, count.index, count.unsent};
         actions.push_back(AddCount{name, count.unsent, std::min(kLongestKeep, 3 * length)});
         count.calling = count.unsent;
         count.unsent = 0;
         count.callOut = true;
+        if (asked) customers.at(id).heldInCall = customers.at(id).held.size();
         if (countFailures > 0) {
             countFrom = now + kCountPause * (1 << std::min(countFailures, kCountPauseDoublings));
         }
@@ -330,9 +330,7 @@
     /// near the quota they are read again, at most so often and only when the customer asks.
     void refresh(CustomerId id, Customer &cons) {
         const Plan &plan = planOf(cons.plan);
-        if (plan.rate <= 0 || plan.burst <= 0 || cons.refilled > kNearQuota * plan.burst) {
-            return;
-        }
+        if (plan.rate <= 0 || plan.burst <= 0 || cons.refilled > kNearQuota * plan.burst) return;
         Count &current = cons.units.current, &previous = cons.units.previous;
         report(id, Meaning::units, current, windowOf(plan), now - current.heardAt > kRefresh);
         report(id, Meaning::units, previous, windowOf(plan), previous.heard && previous.heardFor < windowOf(plan));
@@ -349,23 +347,17 @@
 
     void on(const CountAnswered &sum) {
         const auto found = countCalls.find(sum.name);
-        if (found == countCalls.end()) {
-            return;
-        }
+        if (found == countCalls.end()) return;
         const CountCall call = found->second;
         countCalls.erase(found);
         const bool ok = sum.outcome == Outcome::answered;
         countFailures = ok ? 0 : countFailures + 1;
         countFrom = ok ? now : now + kCountPause * (1 << std::min(countFailures, kCountPauseDoublings));
         const auto customer = customers.find(call.customer);
-        if (customer == customers.end()) {
-            return;
-        }
+        if (customer == customers.end()) return;
         Customer &cons = customer->second;
         Count *count = (call.meaning == Meaning::units ? cons.units : cons.open).at(call.index);
-        if (count == nullptr) {
-            return;
-        }
+        if (count == nullptr) return;
         count->callOut = false;
         count->calling = 0;
         if (ok) {
@@ -390,17 +382,18 @@
         } else {
             count->unknown += call.amount;
         }
+        if (call.meaning == Meaning::open && count == &cons.open.current) decideHeld(cons, ok, count->total);
         reportAll(call.customer, cons);
     }
 
+    bool trusted() const { return facts.mayCount && countFailures == 0; }
+
     // ---- 5: guards for ceilings and open caps ----
 
     /// Each gateway owns an even part of the ceiling, empty at its start: a restart can't refill what it had spent.
     bool underCeiling(Customer &cons, double units) {
         const Plan &plan = planOf(cons.plan);
-        if (plan.ceilingRate <= 0) {
-            return true;
-        }
+        if (plan.ceilingRate <= 0) return true;
         const double part = 1.0 / cons.gateways;
         cons.ceilingLeft = std::min(plan.ceilingBurst * part,
                                     cons.ceilingLeft + plan.ceilingRate * part * ms(now - cons.ceilingAt) / 1000);
@@ -410,37 +403,65 @@
 
     double usualLatency() const {
         double sum = 0;
-        for (const RouteRow &row : routes) {
-            sum += row.latencies.mean(ms(row.target) / 4);
-        }
+        for (const RouteRow &row : routes) sum += row.latencies.mean(ms(row.target) / 4);
         return sum / static_cast<double>(std::max<std::size_t>(1, routes.size()));
     }
 
+    bool nearCap(const Customer &cons) const { return cons.fullAt != Span{} && now - cons.fullAt < kFullFor; }
+
+    /// Passes from the cache: tries end soon, so what the others had open fades with the usual latency.
     bool underCap(CustomerId id, Customer &cons) {
         const Plan &plan = planOf(cons.plan);
-        if (plan.openCap == 0) {
-            return true;
-        }
+        if (plan.openCap == 0) return true;
         cons.open.turnTo(phased(id, kOpenEpoch) / kOpenEpoch);
         double others = 0;
         for (const Count *count : {&cons.open.current, &cons.open.previous}) {
-            // Tries end: what the others had open when we last heard fades with the usual latency.
             others += count->others() * std::exp(-ms(now - count->heardAt) / usualLatency() / 3);
         }
-        return cons.openHere + others < plan.openCap;
+        const double most = trusted() || !nearCap(cons) ? plan.openCap : std::max(1u, plan.openCap / cons.gateways);
+        const bool room = cons.openHere + (nearCap(cons) ? 0 : others) < most;
+        if (!room) cons.fullAt = now;
+        return room;
+    }
+
+    /// With the cap lately full the cache is too old to tell: the try is counted first and held for the answer.
+    void hold(CallId id, Call &rq, Customer &cons) {
+        rq.held = true;
+        cons.held.push_back(id);
+        countOpen(rq, 1);
+    }
+
+    void decideHeld(Customer &cons, bool ok, double total) {
+        const unsigned cap = planOf(cons.plan).openCap;
+        const double most = ok ? cap : std::max(1u, cap / cons.gateways);
+        double open = ok ? total + cons.open.previous.others() - static_cast<double>(cons.heldInCall)
+                         : cons.openHere - static_cast<double>(cons.held.size());
+        if (total >= cap) cons.fullAt = now;
+        const auto last = cons.held.begin() + static_cast<std::ptrdiff_t>(cons.heldInCall);
+        const std::vector<CallId> counted(cons.held.begin(), last);
+        cons.held.erase(cons.held.begin(), last);
+        cons.heldInCall = 0;
+        for (const CallId id : counted) {
+            Call &rq = calls.at(id);
+            if (!rq.closed && open + 1 <= most) {
+                open += 1;
+                start(id, rq, cons);
+                continue;
+            }
+            countOpen(rq, -1);
+            if (!rq.closed) actions.push_back(RateLimit{id, advice(rq.units, cons)});
+            calls.erase(id);
+        }
     }
 
-    void countOpen(Call &rq, CustomerId id, int step) {
+    void countOpen(Call &rq, int step) {
+        const CustomerId id = rq.customer;
         const auto found = customers.find(id);
-        if (found == customers.end() || planOf(rq.plan).openCap == 0) {
-            return;
-        }
+        if (found == customers.end() || planOf(rq.plan).openCap == 0) return;
         Customer &cons = found->second;
         cons.open.turnTo(phased(id, kOpenEpoch) / kOpenEpoch);
         cons.openHere = std::max(0, cons.openHere + step);
-        if (step > 0) {
-            rq.openEpoch = cons.open.current.index;
-        }
+        if (step > 0) rq.openEpoch = cons.open.current.index;
         if (Count *count = cons.open.at(rq.openEpoch)) {
             count->unsent += step;
             count->due = true;
@@ -451,9 +472,7 @@
     // ---- API calls and upstream tries ----
 
     void on(const CallTaken &taken) {
-        if (calls.contains(taken.call)) {
-            return;
-        }
+        if (calls.contains(taken.call)) return;
         if (taken.route.value >= routes.size()) {
             actions.push_back(GiveError{taken.call});
             return;
@@ -468,29 +487,38 @@
         Call rq{.route = taken.route, .plan = taken.plan, .customer = taken.customer, .units = taken.units};
         rq.taken = now;
         rq.until = now + taken.left;
-        const auto worker = pick(rq);
+        Call &kept = calls[taken.call] = rq;
+        if (planOf(cons.plan).openCap > 0 && nearCap(cons) && trusted() && taken.left > 4 * facts.countTimeout) {
+            hold(taken.call, kept, cons);
+        } else {
+            start(taken.call, kept, cons);
+        }
+    }
+
+    void start(CallId id, Call &rq, Customer &cons) {
+        const auto worker = underCeiling(cons, rq.units) ? pick(rq) : std::nullopt;
         if (!worker) {
-            actions.push_back(RateLimit{taken.call, spread(kRoomAdvice)});
+            if (rq.held) countOpen(rq, -1);
+            actions.push_back(RateLimit{id, spread(kRoomAdvice)});
+            calls.erase(id);
             return;
         }
         const Plan &plan = planOf(cons.plan);
-        cons.ceilingLeft -= taken.units;
+        cons.ceilingLeft -= rq.units;
         furtherLeft = std::min(kFurtherStore, furtherLeft + kFurtherShare);
-        send(taken.call, calls[taken.call] = rq, *worker);
+        send(id, rq, *worker);
         if (plan.rate > 0 && plan.burst > 0) {
-            cons.refilled -= taken.units;
-            cons.units.current.unsent += taken.units;
+            cons.refilled -= rq.units;
+            cons.units.current.unsent += rq.units;
             cons.units.current.due = true;
-            report(taken.customer, Meaning::units, cons.units.current, windowOf(plan));
-            refresh(taken.customer, cons);
+            report(rq.customer, Meaning::units, cons.units.current, windowOf(plan));
+            refresh(rq.customer, cons);
         }
     }
 
     void send(CallId id, Call &rq, WorkerId to) {
         Worker &worker = workers.at(to);
-        if (worker.out++ == 0) {
-            worker.quietSince = now;
-        }
+        if (worker.out++ == 0) worker.quietSince = now;
         ++rq.tries;
         rq.out = true;
         rq.worker = to;
@@ -499,7 +527,8 @@
         const bool trial = onTrial(worker) && mayRepeat(rq);
         const Span patience = std::max(facts.connectTimeout, routes[rq.route.value].target / 3);
         actions.push_back(SendTry{id, to, trial ? std::min(rq.until, now + patience) : rq.until});
-        countOpen(rq, rq.customer, 1);
+        if (!rq.held) countOpen(rq, 1);
+        rq.held = false;
     }
 
     bool mayRepeat(const Call &rq) const { return routes[rq.route.value].effect != Effect::nonIdempotent; }
@@ -509,9 +538,7 @@
             learn(found->second, ended);
         }
         const auto found = calls.find(ended.call);
-        if (found == calls.end() || !found->second.out) {
-            return;
-        }
+        if (found == calls.end() || !found->second.out) return;
         Call &rq = found->second;
         rq.out = false;
         const bool neverRan = ended.outcome == Outcome::full || ended.outcome == Outcome::connectFailed ||
@@ -524,7 +551,7 @@
                 rq.maybeRanAt = at->second.entry;
             }
         }
-        countOpen(rq, rq.customer, -1);
+        countOpen(rq, -1);
         settle(rq, ended);
         if (rq.closed || ended.callClosed) {
             calls.erase(found);
@@ -555,13 +582,11 @@
 
     void on(const ClientGone &gone) {
         const auto found = calls.find(gone.call);
-        if (found == calls.end()) {
-            return;
-        }
+        if (found == calls.end()) return;
         found->second.closed = true;
-        if (!found->second.out) {
+        if (!found->second.out && !found->second.held) {
             calls.erase(found);
-        } else if (facts.mayCancel) {
+        } else if (found->second.out && facts.mayCancel) {
             actions.push_back(CallOffTry{gone.call, tryNumber(found->second)});
         }
     }
@@ -595,9 +620,7 @@
 
     bool inScope(const Call &rq, const Worker &worker) const {
         const RouteRow &row = routes[rq.route.value];
-        if (!rq.mayHaveRun || row.effect != Effect::tokened || row.scope == RepeatScope::all) {
-            return true;
-        }
+        if (!rq.mayHaveRun || row.effect != Effect::tokened || row.scope == RepeatScope::all) return true;
         return row.scope == RepeatScope::zone ? worker.entry.zone == rq.maybeRanAt.zone
                                               : worker.entry.cell == rq.maybeRanAt.cell;
     }
@@ -607,9 +630,7 @@
             const CallId id = line.front();
             line.pop_front();
             const auto found = calls.find(id);
-            if (found == calls.end()) {
-                continue;
-            }
+            if (found == calls.end()) continue;
             Call &rq = found->second;
             if (!mayTryAgain(rq)) {
                 finish(id, rq);
@@ -649,12 +670,10 @@
     void rerank() {
         ranked.clear();
         for (auto &[id, worker] : workers) {
-            if (worker.entry.state != WorkerState::ready) {
-                continue;
-            }
+            if (worker.entry.state != WorkerState::ready) continue;
             ranked.push_back(id);
             const double slow = std::clamp(worker.slowness.mean(1), 0.25, 4.0);
-            worker.key = slow * (1 + worker.out + worker.others) + (worker.entry.zone == facts.zone ? 0 : kCrossing);
+            worker.key = slow * (1 + worker.out) + (worker.entry.zone == facts.zone ? 0 : kCrossing);
             worker.share = worker.out + 1;
         }
         std::stable_sort(ranked.begin(), ranked.end(),
@@ -684,13 +703,6 @@
     }
 
     void learn(Worker &worker, const TryEnded &ended) {
-        for (std::size_t i = 0; i < std::min(ended.load.size(), facts.loadColumns.size()); ++i) {
-            if (facts.loadColumns[i] == LoadFigure::inHand) {
-                worker.others = std::max(0.0, ended.load[i] - worker.out);
-            } else if (facts.loadColumns[i] == LoadFigure::waiting) {
-                worker.others = ended.load[i];
-            }
-        }
         const auto rq = calls.find(ended.call);
         switch (ended.outcome) {
             case Outcome::answered:
@@ -705,9 +717,7 @@
                 break;
             case Outcome::errored:
                 worker.bad.add(1);
-                if (onTrial(worker)) {
-                    strike(worker);
-                }
+                if (onTrial(worker)) strike(worker);
                 break;
             case Outcome::full:
                 worker.limit = std::max(1.0, std::min(worker.limit, worker.out - 1.0));
@@ -715,9 +725,7 @@
                 break;
             case Outcome::timedOut:
                 worker.bad.add(1);
-                if (onTrial(worker)) {
-                    strike(worker);
-                }
+                if (onTrial(worker)) strike(worker);
                 break;
             case Outcome::connectFailed:
             case Outcome::reset: strike(worker); break;
@@ -737,14 +745,10 @@
         for (auto &[id, worker] : workers) {
             if (worker.out > 0 && worker.strikes == 0 && worker.gaps.size() >= kJudgedFrom) {
                 const double phi = ms(now - worker.quietSince) / std::max(1.0, worker.gaps.mean(1)) / std::log(10.0);
-                if (phi > kSuspect) {
-                    silent.push_back(id);
-                }
+                if (phi > kSuspect) silent.push_back(id);
             }
         }
-        if (2 * silent.size() > ranked.size()) {
-            return;
-        }
+        if (2 * silent.size() > ranked.size()) return;
         for (const WorkerId id : silent) {
             strike(workers.at(id));
             for (auto &[call, rq] : calls) {
@@ -761,9 +765,7 @@
     /// have (multiple - 1) x capacity x span of work out at once, each its even part, reckoned for a single core.
     double coldLimit(const Worker &worker) const {
         const Span age = now - worker.entry.startedAt;
-        if (worker.entry.startedAt == Span{} || age >= facts.warmUp) {
-            return worker.limit;
-        }
+        if (worker.entry.startedAt == Span{} || age >= facts.warmUp) return worker.limit;
         const double warm = std::max(0.0, ms(age) / ms(facts.warmUp));
         const double capacity = facts.coldShare + (1 - facts.coldShare) * warm;
         const double work = (facts.fallMultiple - 1) * capacity * ms(facts.fallSpan);
@@ -773,13 +775,9 @@
     // ---- the list of workers, timers, and what this version has no use for ----
 
     void on(const WorkerListed &news) {
-        if (news.how == ListNews::failed) {
-            return;
-        }
+        if (news.how == ListNews::failed) return;
         if (news.how != ListNews::changes) {
-            for (auto &[id, worker] : workers) {
-                worker.entry.state = WorkerState::gone;
-            }
+            for (auto &[id, worker] : workers) worker.entry.state = WorkerState::gone;
         }
         for (const WorkerEntry &entry : news.workers) {
             Worker &worker = workers[entry.worker];
@@ -795,15 +793,18 @@
     }
 
     void on(const TimerFired &fired) {
-        if (fired.token != kTickToken) {
-            return;
-        }
+        if (fired.token != kTickToken) return;
         judge();
         rerank();
         serveLine();
         for (auto at = customers.begin(); at != customers.end();) {
             auto &[id, cons] = *at;
             reportAll(id, cons);
+            // Whatever kept the counter's answer away, none waits for it longer than the counter may take.
+            if (!cons.held.empty() && now - calls.at(cons.held.front()).taken > 2 * facts.countTimeout) {
+                cons.heldInCall = cons.held.size();
+                decideHeld(cons, false, 0);
+            }
             const Plan &plan = planOf(cons.plan);
             const Span idle = plan.rate > 0 && plan.burst > 0 ? 2 * windowOf(plan) : 2 * kOpenEpoch;
             const bool over = now - cons.seenAt > idle && cons.openHere == 0 && plan.ceilingRate <= 0;
