--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -40,7 +40,7 @@
 
 constexpr double kFirstLimit = 4;
 constexpr double kCrossing = 0.15;       // what another zone weighs in the ranking, in usual latencies
-constexpr double kLateAt = 0.25, kEasyAt = 0.1;  // of the latency target
+constexpr double kLateAt = 0.2, kEasyAt = 0.08;  // of the latency target
 
 constexpr double kSuspect = 4;  // phi: the present silence has a chance of 1 in 10^4
 constexpr double kBadShare = 0.3;
