Pace calls to the counter by what it takes

Cause: one good answer lifted the pause after a failure, so that twelve gateways sent sixteen times what the counter serves and 90% were turned away. A rate raised by each answer and cut by failures, joined adds between. It should also hold against a silent, refusing or crawling counter; it may hurt for a moment after the counter is back, while the rate climbs.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -35,8 +35,8 @@
 constexpr Span kFullFor = seconds(3);
 constexpr Span kOpenEpoch = seconds(20);
 constexpr Span kLongestKeep = seconds(60);
-constexpr Span kCountPause = milliseconds(25);
-constexpr int kCountPauseDoublings = 4;
+constexpr double kCallsFirst = 200, kCallsLeast = 5, kCallsMost = 2000;  // to the counter, a second
+constexpr double kCallsMore = 5, kCallsCut = 0.7, kCallsAtOnce = 20;
 
 constexpr double kFirstLimit = 4;
 constexpr double kCrossing = 0.15;       // what another zone weighs in the ranking, in usual latencies
@@ -195,9 +195,9 @@
     std::map<CountName, CountCall> countCalls;
     std::deque<CallId> line;
     double furtherLeft = kFurtherStore;
-    int countFailures = 0;
-    Span now{}, startedAt{}, countFrom{};
-    bool ticking = false;
+    double callsASecond = kCallsFirst, callsLeft = kCallsAtOnce;
+    Span now{}, startedAt{}, pacedAt{}, paceCutAt{}, countOkAt{};
+    bool ticking = false, countFailing = false;
     std::vector<Action> actions;
 
     std::vector<Action> handle(Span at, const Event &event) {
@@ -205,7 +205,7 @@
         actions.clear();
         if (!ticking) {
             ticking = true;
-            startedAt = now;
+            startedAt = pacedAt = now;
             actions.push_back(SetTimer{now + kTick, kTickToken});
         }
         std::visit([this](const auto &what) { on(what); }, event);
@@ -308,12 +308,10 @@
     /// Tells the counter what it has not been told. Adds are joined while a call for that name is out or the
     /// counter fails, since it goes on working on calls that nobody waits for; none is dropped.
     void report(CustomerId id, Meaning meaning, Count &count, Span length, bool read = false) {
-        if (!facts.mayCount || count.index < 0 || count.callOut || !(count.due || read) || now < countFrom) {
-            return;
-        }
-        count.due = false;
+        if (!facts.mayCount || count.index < 0 || count.callOut || !(count.due || read)) return;
         const bool asked = meaning == Meaning::open && !customers.at(id).held.empty();
-        if (count.unsent == 0 && !read && !asked) return;
+        if ((count.unsent == 0 && !read && !asked) || !mayCall()) return;
+        count.due = false;
         const CountName name = nameOf(id, meaning, count.index);
         countCalls[name] = {id, meaning, count.index, count.unsent};
         actions.push_back(AddCount{name, count.unsent, std::min(kLongestKeep, 3 * length)});
@@ -321,9 +319,6 @@
         count.unsent = 0;
         count.callOut = true;
         if (asked) customers.at(id).heldInCall = customers.at(id).held.size();
-        if (countFailures > 0) {
-            countFrom = now + kCountPause * (1 << std::min(countFailures, kCountPauseDoublings));
-        }
     }
 
     /// A refused customer reports nothing, so its totals would stand still while the other gateways go on passing:
@@ -351,8 +346,7 @@
         const CountCall call = found->second;
         countCalls.erase(found);
         const bool ok = sum.outcome == Outcome::answered;
-        countFailures = ok ? 0 : countFailures + 1;
-        countFrom = ok ? now : now + kCountPause * (1 << std::min(countFailures, kCountPauseDoublings));
+        learnPace(ok);
         const auto customer = customers.find(call.customer);
         if (customer == customers.end()) return;
         Customer &cons = customer->second;
@@ -386,7 +380,31 @@
         reportAll(call.customer, cons);
     }
 
-    bool trusted() const { return facts.mayCount && countFailures == 0; }
+    bool trusted() const {
+        return facts.mayCount && (!countFailing || now - countOkAt < 4 * facts.countTimeout);
+    }
+
+    /// Calls are paced by what the counter takes: it works on calls that nobody waits for too, so that more of them
+    /// than it can do bring less. Holds against a slow, full, silent or refusing counter, and against many gateways.
+    bool mayCall() {
+        callsLeft = std::min(kCallsAtOnce, callsLeft + callsASecond * ms(now - pacedAt) / 1000);
+        pacedAt = now;
+        if (callsLeft < 1) return false;
+        callsLeft -= 1;
+        return true;
+    }
+
+    void learnPace(bool ok) {
+        countFailing = !ok;
+        if (ok) {
+            countOkAt = now;
+            callsASecond = std::min(kCallsMost, callsASecond + kCallsMore);
+        } else if (now - paceCutAt > facts.countTimeout) {
+            callsASecond = std::max(kCallsLeast, callsASecond * kCallsCut);
+            callsLeft = std::min(callsLeft, 1.0);
+            paceCutAt = now;
+        }
+    }
 
     // ---- 5: guards for ceilings and open caps ----
 
@@ -429,6 +447,10 @@
         rq.held = true;
         cons.held.push_back(id);
         countOpen(rq, 1);
+        if (!cons.open.current.callOut) {
+            cons.heldInCall = cons.held.size();
+            decideHeld(cons, false, 0);
+        }
     }
 
     void decideHeld(Customer &cons, bool ok, double total) {
