--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -27,7 +27,6 @@
 constexpr TimerToken kTickToken{1};
 
 constexpr double kWindowStretch = 1.0;  // window length over burst / rate
-constexpr double kProjected = 1.0;      // share of the others' recent rate that is believed to go on unseen
 constexpr double kNearQuota = 0.5;
 constexpr Span kRefresh = milliseconds(100);
 constexpr Span kHeadroom = milliseconds(500);
@@ -186,6 +185,7 @@
     }
 
     SiteFacts facts;
+    Plan unlimited;
     Chance chance;
     std::vector<RouteRow> routes;
     std::map<WorkerId, Worker> workers;
@@ -215,10 +215,11 @@
     // ---- the design: the cached two-window estimate ----
 
     const Plan &planOf(PlanId id) const {
-        static const Plan free;
-        return id.value < facts.plans.size() ? facts.plans[id.value] : free;
+        return id.value < facts.plans.size() ? facts.plans[id.value] : unlimited;
     }
 
+    static bool limitsRate(const Plan &plan) { return plan.rate > 0 && plan.burst > 0; }
+
     Span windowOf(const Plan &plan) const {
         return Span{std::max<std::int64_t>(1, std::llround(kWindowStretch * plan.burst / plan.rate * 1e6))};
     }
@@ -244,10 +245,9 @@
 
     bool admits(CustomerId id, Customer &cons, double units) {
         const Plan &plan = planOf(cons.plan);
-        if (plan.rate <= 0 || plan.burst <= 0) return true;
+        if (!limitsRate(plan)) return true;
         const double limit = plan.rate * ms(windowOf(plan)) / 1000;
-        const bool blind = turn(id, cons);
-        if (blind) {
+        if (turn(id, cons)) {
             const double own = cons.units.current.own() + cons.units.previous.own();
             return own <= 0 || own + units <= limit / cons.gateways;
         }
@@ -260,7 +260,7 @@
     double othersPerMs(const Customer &cons, Span length) const {
         const Count &current = cons.units.current, &previous = cons.units.previous;
         const Span known = (current.heard ? current.heardFor : Span{}) + (previous.heard ? previous.heardFor : Span{});
-        return kProjected * std::min((current.others() + previous.others()) / std::max(ms(known), ms(length) / 4),
+        return std::min((current.others() + previous.others()) / std::max(ms(known), ms(length) / 4),
                                      planOf(cons.plan).rate / 1000);
     }
 
@@ -325,14 +325,14 @@
     /// near the quota they are read again, at most so often and only when the customer asks.
     void refresh(CustomerId id, Customer &cons) {
         const Plan &plan = planOf(cons.plan);
-        if (plan.rate <= 0 || plan.burst <= 0 || cons.refilled > kNearQuota * plan.burst) return;
+        if (!limitsRate(plan) || cons.refilled > kNearQuota * plan.burst) return;
         Count &current = cons.units.current, &previous = cons.units.previous;
         report(id, Meaning::units, current, windowOf(plan), now - current.heardAt > kRefresh);
         report(id, Meaning::units, previous, windowOf(plan), previous.heard && previous.heardFor < windowOf(plan));
     }
 
     void reportAll(CustomerId id, Customer &cons) {
-        if (const Plan &plan = planOf(cons.plan); plan.rate > 0 && plan.burst > 0) {
+        if (const Plan &plan = planOf(cons.plan); limitsRate(plan)) {
             report(id, Meaning::units, cons.units.current, windowOf(plan));
             report(id, Meaning::units, cons.units.previous, windowOf(plan));
         }
@@ -380,9 +380,7 @@
         reportAll(call.customer, cons);
     }
 
-    bool trusted() const {
-        return facts.mayCount && (!countFailing || now - countOkAt < 4 * facts.countTimeout);
-    }
+    bool trusted() const { return facts.mayCount && (!countFailing || now - countOkAt < 4 * facts.countTimeout); }
 
     /// Calls are paced by what the counter takes: it works on calls that nobody waits for too, so that more of them
     /// than it can do bring less. Holds against a slow, full, silent or refusing counter, and against many gateways.
@@ -529,7 +527,7 @@
         cons.ceilingLeft -= rq.units;
         furtherLeft = std::min(kFurtherStore, furtherLeft + kFurtherShare);
         send(id, rq, *worker);
-        if (plan.rate > 0 && plan.burst > 0) {
+        if (limitsRate(plan)) {
             cons.refilled -= rq.units;
             cons.units.current.unsent += rq.units;
             cons.units.current.due = true;
@@ -556,16 +554,15 @@
     bool mayRepeat(const Call &rq) const { return routes[rq.route.value].effect != Effect::nonIdempotent; }
 
     void on(const TryEnded &ended) {
-        if (const auto found = workers.find(ended.worker); found != workers.end()) {
-            learn(found->second, ended);
-        }
+        const auto at = workers.find(ended.worker);
+        if (at != workers.end()) learn(at->second, ended);
         const auto found = calls.find(ended.call);
         if (found == calls.end() || !found->second.out) return;
         Call &rq = found->second;
         rq.out = false;
         const bool neverRan = ended.outcome == Outcome::full || ended.outcome == Outcome::connectFailed ||
                               ended.outcome == Outcome::notSent;
-        if (const auto at = workers.find(ended.worker); at != workers.end()) {
+        if (at != workers.end()) {
             at->second.out = std::max(0, at->second.out - 1);
             if (!neverRan && !rq.mayHaveRun) {
                 rq.mayHaveRun = true;
@@ -589,7 +586,7 @@
     void settle(const Call &rq, const TryEnded &ended) {
         const Plan &plan = planOf(rq.plan);
         const auto found = customers.find(rq.customer);
-        if (ended.trueUnits && found != customers.end() && plan.rate > 0 && plan.burst > 0) {
+        if (ended.trueUnits && found != customers.end() && limitsRate(plan)) {
             turn(rq.customer, found->second);
             found->second.refilled -= *ended.trueUnits - rq.units;
             found->second.units.current.unsent += *ended.trueUnits - rq.units;
@@ -618,14 +615,9 @@
     /// The final answer, given as soon as nothing more will be tried.
     void finish(CallId id, const Call &rq) {
         const RouteRow &row = routes[rq.route.value];
-        const bool harmless = !rq.mayHaveRun || row.effect == Effect::idempotent ||
-                              (row.effect == Effect::tokened && row.scope == RepeatScope::all &&
-                               now < rq.maybeRanFrom + row.repeatWindow);
-        if (harmless) {
-            actions.push_back(RateLimit{id, spread(kRoomAdvice)});
-        } else {
-            actions.push_back(GiveError{id});
-        }
+        const bool harmless = mayRunAgain(rq) && (!rq.mayHaveRun || row.effect == Effect::idempotent ||
+                                                  row.scope == RepeatScope::all);
+        actions.push_back(harmless ? Action{RateLimit{id, spread(kRoomAdvice)}} : Action{GiveError{id}});
         calls.erase(id);
     }
 
@@ -633,9 +625,12 @@
 
     bool mayTryAgain(const Call &rq) const {
         const RouteRow &row = routes[rq.route.value];
-        if (rq.tries >= facts.mostTries || now >= std::min(rq.taken + row.target, rq.until - 2 * kTick)) {
-            return false;
-        }
+        return rq.tries < facts.mostTries && now < std::min(rq.taken + row.target, rq.until - 2 * kTick) &&
+               mayRunAgain(rq);
+    }
+
+    bool mayRunAgain(const Call &rq) const {
+        const RouteRow &row = routes[rq.route.value];
         return !rq.mayHaveRun || row.effect == Effect::idempotent ||
                (row.effect == Effect::tokened && now < rq.maybeRanFrom + row.repeatWindow);
     }
@@ -737,14 +732,11 @@
                     learnLimit(worker, ms(ended.latency), ms(row.target));
                 }
                 break;
-            case Outcome::errored:
-                worker.bad.add(1);
-                if (onTrial(worker)) strike(worker);
-                break;
             case Outcome::full:
                 worker.limit = std::max(1.0, std::min(worker.limit, worker.out - 1.0));
                 worker.barredUntil = std::max(worker.barredUntil, now + kBar / 2);
                 break;
+            case Outcome::errored:
             case Outcome::timedOut:
                 worker.bad.add(1);
                 if (onTrial(worker)) strike(worker);
@@ -828,7 +820,7 @@
                 decideHeld(cons, false, 0);
             }
             const Plan &plan = planOf(cons.plan);
-            const Span idle = plan.rate > 0 && plan.burst > 0 ? 2 * windowOf(plan) : 2 * kOpenEpoch;
+            const Span idle = limitsRate(plan) ? 2 * windowOf(plan) : 2 * kOpenEpoch;
             const bool over = now - cons.seenAt > idle && cons.openHere == 0 && plan.ceilingRate <= 0;
             at = over ? customers.erase(at) : std::next(at);
         }
