--- a/include/arrowstile/actions.hpp
+++ b/include/arrowstile/actions.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <arrowstile/ids.hpp>
-
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -66,7 +65,7 @@
     std::string text;
 };
 
-using Action = std::variant<SendTry, RateLimit, GiveError, CallOffTry, SetTimer, ProbeWorker, CloseIdle, TellPeers,
-                            AddCount, FollowList, FetchList, Note>;
+using Action = std::variant<SendTry, RateLimit, GiveError, CallOffTry, SetTimer, ProbeWorker, CloseIdle,
+                            TellPeers, AddCount, FollowList, FetchList, Note>;
 
 }  // namespace arrowstile
--- a/include/arrowstile/events.hpp
+++ b/include/arrowstile/events.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <arrowstile/ids.hpp>
-
 #include <cstddef>
 #include <optional>
 #include <variant>
--- a/include/arrowstile/gatekeeper.hpp
+++ b/include/arrowstile/gatekeeper.hpp
@@ -3,7 +3,6 @@
 #include <arrowstile/actions.hpp>
 #include <arrowstile/events.hpp>
 #include <arrowstile/site_facts.hpp>
-
 #include <memory>
 #include <vector>
 
--- a/include/arrowstile/site_facts.hpp
+++ b/include/arrowstile/site_facts.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <arrowstile/ids.hpp>
-
 #include <vector>
 
 namespace arrowstile {
@@ -10,7 +9,15 @@
 enum class RepeatScope : std::uint8_t { all, zone, cell };
 enum class ReportWay : std::uint8_t { none, answers, probes };
 /// What a figure of a load report says of the worker that sent it.
-enum class LoadFigure : std::uint8_t { inHand, waiting, busyShare, serviceMs, perSecond, failuresPerSecond, other };
+enum class LoadFigure : std::uint8_t {
+    inHand,
+    waiting,
+    busyShare,
+    serviceMs,
+    perSecond,
+    failuresPerSecond,
+    other
+};
 enum class ListWay : std::uint8_t { pushed, asked };
 
 struct Route {
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,16 +1,17 @@
-// Every decision of a gatekeeper. Callers hand each event to Gatekeeper::handle together with the time, in the
-// order in which things happened, and carry out the actions that come back, in their order. The interface is in
-// include/arrowstile/gatekeeper.hpp; docs/design.md tells what follows the design's source and what departs from it.
+// Every decision of a gatekeeper. Hand each event to Gatekeeper::handle with the time, in the order in which
+// things happened, and carry out the actions that come back in theirs. The interface is declared in
+// include/arrowstile/gatekeeper.hpp; docs/design.md tells what is kept of the design's source and what
+// departs.
 //
 // The design: admits() decides at once from a cached two-window estimate; report() tells the counter of every
-// pass in the background, and its late reply refreshes the cache. Six mechanisms stand beside it:
-//   1 ranked fill: pick(), rerank(), learnLimit()      4 line of further tries: serveLine()
-//   2 health from silence and failures: judge()        5 guards for ceilings and open caps: underCeiling(), underCap()
-//   3 warm-up limits: coldLimit()                      6 trust in the counter: countAnswered(), report()
-#include <arrowstile/gatekeeper.hpp>
-
+// pass in the background, and the late reply refreshes the cache. Six mechanisms stand beside it:
+//   1 ranked fill: pick(), rerank(), learnLimit()    4 line of further tries: serveLine()
+//   2 health from silence and failures: judge()      5 guards: underCeiling(), underCap(), hold()
+//   3 warm-up limits: coldLimit()                    6 trust in the counter: trusted(), mayCall(), refresh()
 #include <algorithm>
 #include <array>
+#include <arrowstile/gatekeeper.hpp>
+#include <bit>
 #include <cmath>
 #include <deque>
 #include <map>
@@ -38,7 +39,7 @@
 constexpr double kCallsMore = 5, kCallsCut = 0.7, kCallsAtOnce = 20;
 
 constexpr double kFirstLimit = 4;
-constexpr double kCrossing = 0.15;       // what another zone weighs in the ranking, in usual latencies
+constexpr double kCrossing = 0.15;  // what another zone weighs in the ranking, in usual latencies
 constexpr double kLateAt = 0.2, kEasyAt = 0.08;  // of the latency target
 
 constexpr double kSuspect = 4;  // phi: the present silence has a chance of 1 in 10^4
@@ -66,8 +67,7 @@
         const std::uint64_t old = state_;
         state_ = old * 6364136223846793005ull + 1442695040888963407ull;
         const auto shifted = static_cast<std::uint32_t>(((old >> 18) ^ old) >> 27);
-        const auto turn = static_cast<unsigned>(old >> 59);
-        return ((shifted >> turn) | (shifted << ((32 - turn) & 31))) / 4294967296.0;
+        return std::rotr(shifted, static_cast<int>(old >> 59)) / 4294967296.0;
     }
 
 private:
@@ -114,10 +114,10 @@
 /// A count on the counter service as this gateway knows it.
 struct Count {
     std::int64_t index = -1;
-    double total = 0, confirmed = 0;                // the last reply, and our own part of it
-    double calling = 0, unsent = 0, unknown = 0;    // our own that no reply holds yet
+    double total = 0, confirmed = 0;                   // the last reply, and our own part of it
+    double calling = 0, unsent = 0, unknown = 0;       // our own that no reply holds yet
     bool heard = false, callOut = false, due = false;  // due: holds a pass that has not been reported
-    Span heardAt{}, heardFor{};  // the last reply, and how much of the window it covers
+    Span heardAt{}, heardFor{};                        // the last reply, and how much of the window it covers
     double booked = 0;  // the others' part that the refilled store below has taken in
     double use() const { return total + calling + unsent + unknown; }
     double own() const { return confirmed + calling + unsent + unknown; }
@@ -148,7 +148,7 @@
     Span fullAt{};  // when the open cap was last found full
     std::deque<CallId> held;
     std::size_t heldInCall = 0;
-    double refilled = 0, guessed = 0;  // the quota's store as far as it is known, and the others' use guessed into it
+    double refilled = 0, guessed = 0;  // the quota's store as it is known, and what was guessed into it
     Span refilledAt{};
     double ceilingLeft = 0;
     Span ceilingAt{}, seenAt{};
@@ -226,7 +226,7 @@
 
     /// A phase for each customer, so that not all windows of a site turn at one moment.
     Span phased(CustomerId id, Span length) const {
-        return now + Span{static_cast<std::int64_t>(mixed(id.value) % static_cast<std::uint64_t>(length.count()))};
+        return now + Span{static_cast<std::int64_t>(mixed(id.value) >> 1) % length.count()};
     }
 
     Customer &customerOf(const CallTaken &rq) {
@@ -251,20 +251,21 @@
             const double own = cons.units.current.own() + cons.units.previous.own();
             return own <= 0 || own + units <= limit / cons.gateways;
         }
-        // The estimate lets the past fade in proportion, the quota fills at its rate: a customer whose burst is over
-        // would be refused with half of its quota unused. There, and only there, the refilled store has the last word.
+        // The estimate fades in proportion, the quota fills at its rate: after a burst it would refuse with
+        // half of the quota unused. There, and only there, the refilled store has the last word.
         return estimate(id, cons) + units <= limit || cons.refilled >= units;
     }
 
-    /// The others' use a millisecond, as the last totals tell it; never above the rate, as they are held to it too.
+    /// The others' use a millisecond by the last totals; never above the rate, to which they are held too.
     double othersPerMs(const Customer &cons, Span length) const {
         const Count &current = cons.units.current, &previous = cons.units.previous;
-        const Span known = (current.heard ? current.heardFor : Span{}) + (previous.heard ? previous.heardFor : Span{});
+        const Span known =
+            (current.heard ? current.heardFor : Span{}) + (previous.heard ? previous.heardFor : Span{});
         return std::min((current.others() + previous.others()) / std::max(ms(known), ms(length) / 4),
-                                     planOf(cons.plan).rate / 1000);
+                        planOf(cons.plan).rate / 1000);
     }
 
-    /// Brings windows and store up to now; true when neither window has been heard of, so that only our share is safe.
+    /// Brings windows and store up to now; true if neither window was heard of: only our share is safe then.
     bool turn(CustomerId id, Customer &cons) {
         const Plan &plan = planOf(cons.plan);
         const Span length = windowOf(plan);
@@ -279,30 +280,28 @@
     double estimate(CustomerId id, const Customer &cons) const {
         const Span length = windowOf(planOf(cons.plan)), into = phased(id, length) % length;
         const Count &current = cons.units.current, &previous = cons.units.previous;
-        // Between replies the others go on: against totals a second old that let each gateway pass the limit alone.
+        // Between replies the others go on: against old totals that let each gateway pass the limit alone.
         const double perMs = othersPerMs(cons, length), elapsed = ms(into) / ms(length);
         const double unseenCurrent = perMs * ms(into - current.heardFor);
         const double unseenPrevious = perMs * ms(length - previous.heardFor);
         return current.use() + unseenCurrent + (previous.use() + unseenPrevious) * (1 - elapsed);
     }
 
-    std::optional<Span> advice(double units, const Customer &cons) {
-        const Plan &plan = planOf(cons.plan);
-        const Span refill = plan.rate > 0 ? Span{std::llround(units / plan.rate * 1e6)} : Span{};
-        return spread(refill + kHeadroom);
+    void rateLimit(CallId id, Span wait) {
+        const double most = static_cast<double>(std::min(wait, facts.longestAdvice).count());
+        const Span advice{std::llround(most * (1 - kJitter * chance.unit()))};
+        actions.push_back(RateLimit{id, facts.mayAdvise ? std::optional(advice) : std::nullopt});
     }
 
-    std::optional<Span> spread(Span wait) {
-        if (!facts.mayAdvise) return std::nullopt;
-        const Span most = facts.longestAdvice;
-        const double jitter = 1 - kJitter * chance.unit();
-        return Span{std::llround(static_cast<double>(std::min(wait, most).count()) * jitter)};
+    Span refillTime(double units, const Customer &cons) const {
+        const Plan &plan = planOf(cons.plan);
+        return kHeadroom + (plan.rate > 0 ? Span{std::llround(units / plan.rate * 1e6)} : Span{});
     }
 
     // ---- 6: reports to the counter, and trust in it ----
 
     CountName nameOf(CustomerId id, Meaning meaning, std::int64_t index) const {
-        return {mixed(mixed(id.value * 2 + static_cast<unsigned>(meaning)) ^ static_cast<std::uint64_t>(index))};
+        return {mixed(mixed(id.value * 2 + (meaning == Meaning::open)) ^ static_cast<std::uint64_t>(index))};
     }
 
     /// Tells the counter what it has not been told. Adds are joined while a call for that name is out or the
@@ -321,14 +320,15 @@
         if (asked) customers.at(id).heldInCall = customers.at(id).held.size();
     }
 
-    /// A refused customer reports nothing, so its totals would stand still while the other gateways go on passing:
-    /// near the quota they are read again, at most so often and only when the customer asks.
+    /// A refused customer reports nothing, so its totals would stand still while the other gateways go on
+    /// passing: near the quota they are read again, at most so often and only when the customer asks.
     void refresh(CustomerId id, Customer &cons) {
         const Plan &plan = planOf(cons.plan);
         if (!limitsRate(plan) || cons.refilled > kNearQuota * plan.burst) return;
         Count &current = cons.units.current, &previous = cons.units.previous;
         report(id, Meaning::units, current, windowOf(plan), now - current.heardAt > kRefresh);
-        report(id, Meaning::units, previous, windowOf(plan), previous.heard && previous.heardFor < windowOf(plan));
+        const bool unfinished = previous.heard && previous.heardFor < windowOf(plan);
+        report(id, Meaning::units, previous, windowOf(plan), unfinished);
     }
 
     void reportAll(CustomerId id, Customer &cons) {
@@ -355,17 +355,18 @@
         count->callOut = false;
         count->calling = 0;
         if (ok) {
-            // Answers for a name come in call order, so an add of unknown fate is in this total if it ever arrived.
+            // Answers come in call order: an add of unknown fate is in this total if it ever arrived.
             count->confirmed += call.amount + count->unknown;
             count->unknown = 0;
-            // A total below our own part has lost counts: what we know of goes on counting until the window turns.
+            // A total below our own part has lost counts: what we know of counts until the window turns.
             count->total = std::max(sum.total, count->confirmed);
             count->heard = true;
             count->heardAt = now;
             if (call.meaning == Meaning::units) {
-                const Span length = windowOf(planOf(cons.plan)), into = phased(call.customer, length) % length;
-                count->heardFor = count == &cons.units.current ? into : length;
                 turn(call.customer, cons);
+                const Span length = windowOf(planOf(cons.plan));
+                const bool running = count == &cons.units.current;
+                count->heardFor = running ? phased(call.customer, length) % length : length;
                 cons.refilled -= count->others() - count->booked - cons.guessed;
                 count->booked = count->others();
                 cons.guessed = 0;
@@ -380,10 +381,12 @@
         reportAll(call.customer, cons);
     }
 
-    bool trusted() const { return facts.mayCount && (!countFailing || now - countOkAt < 4 * facts.countTimeout); }
+    bool trusted() const {
+        return facts.mayCount && (!countFailing || now - countOkAt < 4 * facts.countTimeout);
+    }
 
-    /// Calls are paced by what the counter takes: it works on calls that nobody waits for too, so that more of them
-    /// than it can do bring less. Holds against a slow, full, silent or refusing counter, and against many gateways.
+    /// Paced by what the counter takes: it works on calls that nobody waits for too, so that too many bring
+    /// less. Holds against a slow, full, silent or refusing counter and against very many gateways.
     bool mayCall() {
         callsLeft = std::min(kCallsAtOnce, callsLeft + callsASecond * ms(now - pacedAt) / 1000);
         pacedAt = now;
@@ -406,13 +409,13 @@
 
     // ---- 5: guards for ceilings and open caps ----
 
-    /// Each gateway owns an even part of the ceiling, empty at its start: a restart can't refill what it had spent.
+    /// Each gateway owns an even part, empty at its start: a restart can't refill what it had spent.
     bool underCeiling(Customer &cons, double units) {
         const Plan &plan = planOf(cons.plan);
         if (plan.ceilingRate <= 0) return true;
         const double part = 1.0 / cons.gateways;
-        cons.ceilingLeft = std::min(plan.ceilingBurst * part,
-                                    cons.ceilingLeft + plan.ceilingRate * part * ms(now - cons.ceilingAt) / 1000);
+        const double filled = plan.ceilingRate * ms(now - cons.ceilingAt) / 1000;
+        cons.ceilingLeft = std::min(plan.ceilingBurst * part, cons.ceilingLeft + filled * part);
         cons.ceilingAt = now;
         return cons.ceilingLeft >= units;
     }
@@ -423,6 +426,10 @@
         return sum / static_cast<double>(std::max<std::size_t>(1, routes.size()));
     }
 
+    unsigned openShare(const Customer &cons) const {
+        return std::max(1u, planOf(cons.plan).openCap / cons.gateways);
+    }
+
     bool nearCap(const Customer &cons) const { return cons.fullAt != Span{} && now - cons.fullAt < kFullFor; }
 
     /// Passes from the cache: tries end soon, so what the others had open fades with the usual latency.
@@ -434,13 +441,13 @@
         for (const Count *count : {&cons.open.current, &cons.open.previous}) {
             others += count->others() * std::exp(-ms(now - count->heardAt) / usualLatency() / 3);
         }
-        const double most = trusted() || !nearCap(cons) ? plan.openCap : std::max(1u, plan.openCap / cons.gateways);
+        const double most = trusted() || !nearCap(cons) ? plan.openCap : openShare(cons);
         const bool room = cons.openHere + (nearCap(cons) ? 0 : others) < most;
         if (!room) cons.fullAt = now;
         return room;
     }
 
-    /// With the cap lately full the cache is too old to tell: the try is counted first and held for the answer.
+    /// With the cap lately full any cache is too old to tell: the try is counted and held for the answer.
     void hold(CallId id, Call &rq, Customer &cons) {
         rq.held = true;
         cons.held.push_back(id);
@@ -453,7 +460,7 @@
 
     void decideHeld(Customer &cons, bool ok, double total) {
         const unsigned cap = planOf(cons.plan).openCap;
-        const double most = ok ? cap : std::max(1u, cap / cons.gateways);
+        const double most = ok ? cap : openShare(cons);
         double open = ok ? total + cons.open.previous.others() - static_cast<double>(cons.heldInCall)
                          : cons.openHere - static_cast<double>(cons.held.size());
         if (total >= cap) cons.fullAt = now;
@@ -469,7 +476,7 @@
                 continue;
             }
             countOpen(rq, -1);
-            if (!rq.closed) actions.push_back(RateLimit{id, advice(rq.units, cons)});
+            if (!rq.closed) rateLimit(id, refillTime(rq.units, cons));
             calls.erase(id);
         }
     }
@@ -500,18 +507,18 @@
         Customer &cons = customerOf(taken);
         if (!admits(taken.customer, cons, taken.units) || !underCap(taken.customer, cons) ||
             !underCeiling(cons, taken.units)) {
-            actions.push_back(RateLimit{taken.call, advice(taken.units, cons)});
+            rateLimit(taken.call, refillTime(taken.units, cons));
             refresh(taken.customer, cons);
             return;
         }
-        Call rq{.route = taken.route, .plan = taken.plan, .customer = taken.customer, .units = taken.units};
+        Call &rq = calls[taken.call];
+        rq = {.route = taken.route, .plan = taken.plan, .customer = taken.customer, .units = taken.units};
         rq.taken = now;
         rq.until = now + taken.left;
-        Call &kept = calls[taken.call] = rq;
-        if (planOf(cons.plan).openCap > 0 && nearCap(cons) && trusted() && taken.left > 4 * facts.countTimeout) {
-            hold(taken.call, kept, cons);
+        if (nearCap(cons) && trusted() && taken.left > 4 * facts.countTimeout) {
+            hold(taken.call, rq, cons);
         } else {
-            start(taken.call, kept, cons);
+            start(taken.call, rq, cons);
         }
     }
 
@@ -519,7 +526,7 @@
         const auto worker = underCeiling(cons, rq.units) ? pick(rq) : std::nullopt;
         if (!worker) {
             if (rq.held) countOpen(rq, -1);
-            actions.push_back(RateLimit{id, spread(kRoomAdvice)});
+            rateLimit(id, kRoomAdvice);
             calls.erase(id);
             return;
         }
@@ -543,7 +550,7 @@
         rq.out = true;
         rq.worker = to;
         rq.sentAt = now;
-        // On trial a worker gets only what may be asked again, and little time: against one that never answers.
+        // On trial a worker gets only what may run again, and little time: against one that never answers.
         const bool trial = onTrial(worker) && mayRepeat(rq);
         const Span patience = std::max(facts.connectTimeout, routes[rq.route.value].target / 3);
         actions.push_back(SendTry{id, to, trial ? std::min(rq.until, now + patience) : rq.until});
@@ -594,9 +601,8 @@
     }
 
     void on(const TryFlowing &flowing) {
-        if (const auto found = workers.find(flowing.worker); found != workers.end()) {
-            found->second.quietSince = now;
-        }
+        const auto found = workers.find(flowing.worker);
+        if (found != workers.end()) found->second.quietSince = now;
     }
 
     void on(const ClientGone &gone) {
@@ -617,7 +623,8 @@
         const RouteRow &row = routes[rq.route.value];
         const bool harmless = mayRunAgain(rq) && (!rq.mayHaveRun || row.effect == Effect::idempotent ||
                                                   row.scope == RepeatScope::all);
-        actions.push_back(harmless ? Action{RateLimit{id, spread(kRoomAdvice)}} : Action{GiveError{id}});
+        if (harmless) rateLimit(id, kRoomAdvice);
+        if (!harmless) actions.push_back(GiveError{id});
         calls.erase(id);
     }
 
@@ -654,12 +661,12 @@
                 continue;
             }
             const auto worker = furtherLeft >= 1 ? pick(rq) : std::nullopt;
-            if (worker) {
-                furtherLeft -= 1;
-                send(id, rq, *worker);
-            } else {
+            if (!worker) {
                 line.push_back(id);
+                continue;
             }
+            furtherLeft -= 1;
+            send(id, rq, *worker);
         }
     }
 
@@ -746,20 +753,19 @@
             case Outcome::calledOff:
             case Outcome::notSent: break;
         }
-        if (ended.outcome == Outcome::answered || ended.outcome == Outcome::errored) {
-            worker.gaps.add(ms(now - worker.quietSince));
-            worker.quietSince = now;
-        }
+        if (ended.outcome != Outcome::answered && ended.outcome != Outcome::errored) return;
+        worker.gaps.add(ms(now - worker.quietSince));
+        worker.quietSince = now;
     }
 
-    /// Phi accrual: how unlikely the present silence is, given the gaps before. Catches a worker that hangs, is cut
-    /// off or stalls, whatever the cause. With most of them silent the fault is not theirs, and none is thrown out.
+    /// Phi accrual: how unlikely is the present silence, given the gaps before? Catches a worker that hangs,
+    /// stalls or is cut off. With most of them silent the fault is not theirs, and none is thrown out.
     void judge() {
         std::vector<WorkerId> silent;
         for (auto &[id, worker] : workers) {
             if (worker.out > 0 && worker.strikes == 0 && worker.gaps.size() >= kJudgedFrom) {
-                const double phi = ms(now - worker.quietSince) / std::max(1.0, worker.gaps.mean(1)) / std::log(10.0);
-                if (phi > kSuspect) silent.push_back(id);
+                const double usual = std::max(1.0, worker.gaps.mean(1)) * std::log(10.0);
+                if (ms(now - worker.quietSince) / usual > kSuspect) silent.push_back(id);
             }
         }
         if (2 * silent.size() > ranked.size()) return;
@@ -775,8 +781,8 @@
 
     // ---- 3: warm-up ----
 
-    /// A cold worker completes no more than it can do, so what is out bounds what is sent: all gateways together may
-    /// have (multiple - 1) x capacity x span of work out at once, each its even part, reckoned for a single core.
+    /// A cold worker ends no more than it can do, so what is out bounds what is sent: all gateways together
+    /// may have (multiple - 1) x capacity x span of work out, each its even part, as if for a single core.
     double coldLimit(const Worker &worker) const {
         const Span age = now - worker.entry.startedAt;
         if (worker.entry.startedAt == Span{} || age >= facts.warmUp) return worker.limit;
@@ -808,6 +814,7 @@
 
     void on(const TimerFired &fired) {
         if (fired.token != kTickToken) return;
+        actions.push_back(SetTimer{now + kTick, kTickToken});
         judge();
         rerank();
         serveLine();
@@ -824,14 +831,14 @@
             const bool over = now - cons.seenAt > idle && cons.openHere == 0 && plan.ceilingRate <= 0;
             at = over ? customers.erase(at) : std::next(at);
         }
-        actions.push_back(SetTimer{now + kTick, kTickToken});
     }
 
-    void on(const ProbeEnded &) {}
+    void on(const ProbeEnded &) {}  // this version neither probes nor talks to its peers
     void on(const PeerHeard &) {}
 };
 
-Gatekeeper::Gatekeeper(const SiteFacts &facts, std::uint64_t seed) : mind_(std::make_unique<Mind>(facts, seed)) {}
+Gatekeeper::Gatekeeper(const SiteFacts &facts, std::uint64_t seed)
+    : mind_(std::make_unique<Mind>(facts, seed)) {}
 Gatekeeper::~Gatekeeper() = default;
 Gatekeeper::Gatekeeper(Gatekeeper &&) noexcept = default;
 Gatekeeper &Gatekeeper::operator=(Gatekeeper &&) noexcept = default;
--- a/src/simhost/facts_json.cpp
+++ b/src/simhost/facts_json.cpp
@@ -1,10 +1,9 @@
 #include "facts_json.hpp"
 
-#include "wire.hpp"
-
+#include <cmath>
 #include <nlohmann/json.hpp>
 
-#include <cmath>
+#include "wire.hpp"
 
 namespace arrowstile::simhost {
 namespace {
@@ -16,7 +15,8 @@
 }
 
 template <class Choice>
-Choice choice(const json &from, const char *key, std::initializer_list<std::pair<const char *, Choice>> words) {
+Choice choice(const json &from, const char *key,
+              std::initializer_list<std::pair<const char *, Choice>> words) {
     const std::string word = from.value(key, words.begin()->first);
     for (const auto &[name, meaning] : words) {
         if (word == name) {
@@ -28,8 +28,9 @@
 
 LoadFigure readColumn(const std::string &name) {
     static constexpr std::pair<const char *, LoadFigure> known[] = {
-        {"rif", LoadFigure::inHand},       {"q", LoadFigure::waiting},      {"busy", LoadFigure::busyShare},
-        {"lat_ms", LoadFigure::serviceMs}, {"rate", LoadFigure::perSecond}, {"fail_rate", LoadFigure::failuresPerSecond}};
+        {"rif", LoadFigure::inHand},     {"q", LoadFigure::waiting},
+        {"busy", LoadFigure::busyShare}, {"lat_ms", LoadFigure::serviceMs},
+        {"rate", LoadFigure::perSecond}, {"fail_rate", LoadFigure::failuresPerSecond}};
     for (const auto &[word, meaning] : known) {
         if (name == word) {
             return meaning;
@@ -46,7 +47,8 @@
         from, "effect",
         {{"unsafe", Effect::nonIdempotent}, {"safe", Effect::idempotent}, {"keyed", Effect::tokened}});
     route.repeatScope = choice<RepeatScope>(
-        from, "keyScope", {{"cell", RepeatScope::cell}, {"all", RepeatScope::all}, {"zone", RepeatScope::zone}});
+        from, "keyScope",
+        {{"cell", RepeatScope::cell}, {"all", RepeatScope::all}, {"zone", RepeatScope::zone}});
     route.repeatWindow = milliseconds(from, "dedupWindowMs");
     route.clientTimeout = Span{std::llround(from.at("deadlineMs").get<double>() * 1000)};
     route.latencyTarget = Span{std::llround(from.at("onTimeMs").get<double>() * 1000)};
--- a/src/simhost/host.cpp
+++ b/src/simhost/host.cpp
@@ -1,10 +1,10 @@
 #include "host.hpp"
 
-#include "facts_json.hpp"
-
 #include <istream>
 #include <ostream>
 
+#include "facts_json.hpp"
+
 namespace arrowstile::simhost {
 namespace {
 
@@ -30,7 +30,8 @@
         } else if (std::holds_alternative<Stopped>(what)) {
             gatekeepers_.erase(instance);
         } else if (const auto found = gatekeepers_.find(instance); found == gatekeepers_.end()) {
-            throw WireError("an event for instance " + std::to_string(instance.value) + ", which is not running");
+            throw WireError("an event for instance " + std::to_string(instance.value) +
+                            ", which is not running");
         } else {
             for (const auto &action : found->second.handle(batch.now, std::get<Event>(what))) {
                 reply.add(instance, action);
--- a/src/simhost/host.hpp
+++ b/src/simhost/host.hpp
@@ -1,12 +1,11 @@
 #pragma once
 
-#include "wire.hpp"
-
 #include <arrowstile/gatekeeper.hpp>
-
 #include <iosfwd>
 #include <map>
 
+#include "wire.hpp"
+
 namespace arrowstile::simhost {
 
 class Host {
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -248,7 +248,9 @@
         const std::string_view text(reinterpret_cast<const char *>(a.bytes.data()), a.bytes.size());
         record(80).number(a.peer ? a.peer->value : everyPeer).bytes(text);
     }
-    void operator()(const Note &a) const { record(90).bytes(std::string_view(a.text).substr(0, longestNote)); }
+    void operator()(const Note &a) const {
+        record(90).bytes(std::string_view(a.text).substr(0, longestNote));
+    }
     void operator()(const FollowList &a) const { record(110).number(static_cast<std::uint8_t>(a.on)); }
     void operator()(const FetchList &) const { record(120); }
     void operator()(const AddCount &a) const { record(130).span(a.keep).id(a.name).real32(a.amount); }
@@ -271,7 +273,9 @@
     }
 }
 
-void Reply::add(InstanceNumber instance, const Action &action) { std::visit(Encode{body_, instance}, action); }
+void Reply::add(InstanceNumber instance, const Action &action) {
+    std::visit(Encode{body_, instance}, action);
+}
 
 std::string Reply::frame() const {
     const auto size = static_cast<std::uint32_t>(body_.size());
--- a/src/simhost/wire.hpp
+++ b/src/simhost/wire.hpp
@@ -2,7 +2,6 @@
 
 #include <arrowstile/actions.hpp>
 #include <arrowstile/events.hpp>
-
 #include <cstdint>
 #include <stdexcept>
 #include <string>
