Tests as tables of cases; judge silence against the median of all workers

The test of a common pause showed that workers falling silent together were thrown out one after another: the count of silent ones started afresh each tick. Silence is now judged against twice the median.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -759,19 +759,20 @@
     }
 
     /// Phi accrual: how unlikely is the present silence, given the gaps before? Catches a worker that hangs,
-    /// stalls or is cut off. With most of them silent the fault is not theirs, and none is thrown out.
+    /// stalls or is cut off. Judged against the median: when all fall silent the fault is not theirs.
     void judge() {
-        std::vector<WorkerId> silent;
-        for (auto &[id, worker] : workers) {
-            if (worker.out > 0 && worker.strikes == 0 && worker.gaps.size() >= kJudgedFrom) {
-                const double usual = std::max(1.0, worker.gaps.mean(1)) * std::log(10.0);
-                if (ms(now - worker.quietSince) / usual > kSuspect) silent.push_back(id);
-            }
+        std::vector<std::pair<double, WorkerId>> phis;
+        for (const auto &[id, worker] : workers) {
+            if (worker.entry.state == WorkerState::gone || worker.gaps.size() < kJudgedFrom) continue;
+            const double usual = std::max(1.0, worker.gaps.mean(1)) * std::log(10.0);
+            phis.emplace_back(worker.out > 0 ? ms(now - worker.quietSince) / usual : 0, id);
         }
-        if (2 * silent.size() > ranked.size()) return;
-        for (const WorkerId id : silent) {
-            strike(workers.at(id));
-            for (auto &[call, rq] : calls) {
+        std::sort(phis.begin(), phis.end());
+        for (const auto &[phi, id] : phis) {
+            Worker &worker = workers.at(id);
+            if (worker.strikes > 0 || phi - 2 * phis[(phis.size() - 1) / 2].first < kSuspect) continue;
+            strike(worker);
+            for (const auto &[call, rq] : calls) {
                 if (rq.out && rq.worker == id && mayRepeat(rq) && !rq.closed && facts.mayCancel) {
                     actions.push_back(CallOffTry{call, tryNumber(rq)});
                 }
--- /dev/null
+++ b/tests/test_choice.cpp
@@ -0,0 +1,287 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "helpers.hpp"
+
+using namespace arrowstile;
+using namespace arrowstile::test;
+
+TEST_CASE("an API call that no try may have run is tried again, else only as its route allows") {
+    struct Row {
+        const char *name;
+        unsigned route;
+        Outcome outcome;
+        bool again, rateLimited, errored;
+    };
+    const Row rows[] = {
+        {"idempotent after an error", 0, Outcome::errored, true, false, false},
+        {"tokened after a reset", 1, Outcome::reset, true, false, false},
+        {"non-idempotent after an error", 2, Outcome::errored, false, false, true},
+        {"non-idempotent after a reset", 2, Outcome::reset, false, false, true},
+        {"non-idempotent after a time-out", 2, Outcome::timedOut, false, false, true},
+        {"non-idempotent turned back unseen", 2, Outcome::full, true, false, false},
+        {"non-idempotent never connected", 2, Outcome::connectFailed, true, false, false},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        Desk desk;
+        desk.workers(3).call(1, row.route);
+        REQUIRE(desk.all<SendTry>().size() == 1);
+        const WorkerId first = desk.all<SendTry>()[0].worker;
+        desk.now += milliseconds(20);
+        desk.ended(1, 0, first, row.outcome);
+        CHECK(desk.all<SendTry>().size() == (row.again ? 1 : 0));
+        CHECK(desk.all<RateLimit>().size() == (row.rateLimited ? 1 : 0));
+        CHECK(desk.all<GiveError>().size() == (row.errored ? 1 : 0));
+        if (row.again) CHECK(desk.all<SendTry>()[0].worker != first);
+        CHECK(desk.ended(1, 0, first, row.outcome).finals() + desk.all<SendTry>().size() <= 1);  // a repeat
+    }
+}
+
+TEST_CASE("each API call gets exactly one final answer whatever becomes of its workers") {
+    struct Row {
+        const char *name;
+        unsigned workers, route;
+        Span left, ended;
+    };
+    const Row rows[] = {
+        {"no worker", 0, 0, milliseconds(4000), {}},
+        {"one worker that times out", 1, 0, milliseconds(300), milliseconds(300)},
+        {"a very short client timeout", 1, 0, milliseconds(1), milliseconds(4)},
+        {"tokened past its repeat window", 2, 1, milliseconds(3000), milliseconds(2990)},
+        {"non-idempotent", 2, 2, milliseconds(500), milliseconds(500)},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        Desk desk;
+        desk.workers(row.workers).call(1, row.route, 0, 1, row.left);
+        std::size_t finals = desk.finals();
+        if (const auto sent = desk.all<SendTry>(); !sent.empty()) {
+            CHECK(sent[0].notPast <= desk.now + row.left);
+            desk.now += row.ended;
+            desk.ended(1, 0, sent[0].worker, Outcome::timedOut);
+            finals += desk.finals();
+        }
+        finals += desk.pass(milliseconds(5000)).finals();
+        CHECK(finals == 1);
+    }
+}
+
+TEST_CASE("events for what is not held are passed over") {
+    Desk desk;
+    desk.workers(1);
+    const Event strays[] = {ClientGone{{5}},
+                            TryEnded{{5}, {0}, {77}, Outcome::answered},
+                            CountAnswered{{3}},
+                            TimerFired{{99}},
+                            ProbeEnded{{77}},
+                            PeerHeard{},
+                            TryFlowing{{5}, {0}, {77}},
+                            WorkerListed{ListNews::failed, 2, {}}};
+    for (const Event &stray : strays) {
+        CAPTURE(stray.index());
+        CHECK(desk.tell(stray).actions.empty());
+    }
+    CHECK(desk.call(1, 200).finals() == 1);                  // a route that is in no table
+    CHECK(desk.call(2, 0, 200).all<SendTry>().size() == 1);  // a plan that is in none has no limits
+    CHECK(desk.tell(ClientGone{{2}}).all<CallOffTry>().size() == 1);
+    CHECK(desk.ended(2, 0, {1}, Outcome::calledOff).finals() == 0);
+}
+
+TEST_CASE("a worker that drains, is gone or falls out of the list gets nothing new") {
+    struct Row {
+        const char *name;
+        std::vector<WorkerEntry> news;
+        ListNews how;
+    };
+    const Row rows[] = {
+        {"draining", {Desk::worker(1, WorkerState::draining)}, ListNews::changes},
+        {"gone", {Desk::worker(1, WorkerState::gone)}, ListNews::changes},
+        {"not in the whole list", {Desk::worker(2)}, ListNews::full},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        Desk desk;
+        desk.workers(2).list(row.news, row.how);
+        for (unsigned i = 1; i <= 6; ++i) {
+            for (const SendTry &sent : desk.call(i).all<SendTry>()) CHECK(sent.worker == WorkerId{2});
+        }
+    }
+}
+
+TEST_CASE("quota: the share before the first reply, totals after it, own sends counted once") {
+    struct Row {
+        const char *name;
+        Outcome outcome;
+        double othersBefore;
+        unsigned passes;  // of calls of 2 units that follow a first of 4, burst 20, two gateways
+    };
+    const Row rows[] = {
+        {"no reply yet: half of the limit", Outcome::notSent, 0, 3},
+        {"nobody else: the whole burst", Outcome::answered, 0, 8},
+        {"others took ten", Outcome::answered, 10, 3},
+        {"others took all", Outcome::answered, 16, 0},
+        {"turned away: the share", Outcome::full, 0, 3},
+        {"no connection: the share", Outcome::connectFailed, 0, 3},
+        {"fate unknown: the share", Outcome::timedOut, 0, 3},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        Desk desk;
+        desk.workers(12).call(1, 0, 1, 4);
+        REQUIRE(desk.all<AddCount>().size() == 1);
+        const AddCount add = desk.all<AddCount>()[0];
+        CHECK(add.amount == 4);
+        if (row.outcome != Outcome::notSent) {
+            desk.tell(CountAnswered{add.name, row.outcome, row.othersBefore + 4, milliseconds(2)});
+        }
+        unsigned passes = 0;
+        for (unsigned i = 2; i < 14; ++i) passes += desk.call(i, 0, 1, 2).all<SendTry>().size();
+        CHECK(passes == row.passes);
+        CHECK(desk.all<RateLimit>().size() == 1);
+        CHECK(desk.all<RateLimit>()[0].retryAfter.has_value());
+        CHECK(*desk.all<RateLimit>()[0].retryAfter <= milliseconds(1000));
+    }
+}
+
+TEST_CASE("counts lost by the counter go on counting here") {
+    Desk desk;
+    desk.workers(12).call(1, 0, 1, 16);
+    const CountName name = desk.all<AddCount>()[0].name;
+    desk.tell(CountAnswered{name, Outcome::answered, 16, milliseconds(2)}).call(2, 0, 1, 2);
+    desk.tell(CountAnswered{name, Outcome::answered, 2, milliseconds(2)});  // back empty
+    CHECK(desk.call(3, 0, 1, 4).all<RateLimit>().size() == 1);
+}
+
+TEST_CASE("a silent or refusing counter is called ever less, and no pass goes unreported") {
+    for (const Outcome outcome : {Outcome::timedOut, Outcome::connectFailed, Outcome::full}) {
+        CAPTURE(static_cast<int>(outcome));
+        Desk desk;
+        desk.workers(12).call(1, 0, 1, 1);
+        std::size_t late = 0;
+        double added = 0;
+        for (unsigned i = 0; i < 300; ++i) {
+            for (const AddCount &add : desk.all<AddCount>()) {
+                late += i > 200;
+                added = add.amount;
+                desk.tell(CountAnswered{add.name, outcome, 0, milliseconds(5)});
+            }
+            desk.pass(milliseconds(10));
+        }
+        CHECK(late <= 20);
+        if (outcome != Outcome::timedOut) CHECK(added == 1);
+    }
+}
+
+TEST_CASE("an open cap holds: from the cache, by the counted answer once full, by the share without one") {
+    Desk desk;
+    desk.workers(12);
+    for (unsigned id : {1, 2})
+        CHECK(desk.call(id, 0, 2).answerCounts(Outcome::answered, id).all<SendTry>().size() == 1);
+    CHECK(desk.call(3, 0, 2).all<RateLimit>().size() == 1);  // two are out
+    for (unsigned id : {1, 2})
+        desk.ended(id, 0, {id}, Outcome::answered, true).answerCounts(Outcome::answered, 2 - id);
+
+    struct Row {
+        const char *name;
+        Outcome outcome;
+        double total;
+        bool passes;
+    };
+    const Row rows[] = {
+        {"room", Outcome::answered, 1, true},
+        {"full of others' tries", Outcome::answered, 3, false},
+        {"no answer: the share of one", Outcome::timedOut, 0, true},
+    };
+    unsigned id = 10;
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        desk.pass(milliseconds(200)).answerCounts(Outcome::answered, 0).call(++id, 0, 2);
+        CHECK(desk.finals() + desk.all<SendTry>().size() == 0);  // held for the answer
+        REQUIRE(desk.all<AddCount>().size() == 1);
+        desk.tell(CountAnswered{desk.all<AddCount>()[0].name, row.outcome, row.total, milliseconds(2)});
+        const auto sent = desk.all<SendTry>();
+        CHECK(sent.size() == (row.passes ? 1 : 0));
+        CHECK(desk.finals() == (row.passes ? 0 : 1));
+        desk.answerCounts(Outcome::answered, row.passes ? 1 : 0);
+        if (row.passes)
+            desk.ended(id, 0, sent[0].worker, Outcome::answered, true).answerCounts(Outcome::answered, 0);
+    }
+}
+
+TEST_CASE("a held API call is decided though the counter never answers") {
+    Desk desk;
+    desk.workers(12).call(1, 0, 2).call(2, 0, 2).call(3, 0, 2);
+    desk.ended(1, 0, {1}, Outcome::answered, true);
+    desk.call(4, 0, 2);
+    const std::size_t at_once = desk.finals() + desk.all<SendTry>().size();
+    desk.pass(milliseconds(150));
+    CHECK(at_once + desk.finals() + desk.all<SendTry>().size() == 1);
+}
+
+TEST_CASE("a ceiling is shared evenly and a restart does not refill the share") {
+    struct Row {
+        const char *name;
+        Span waited;
+        unsigned most;
+    };
+    const Row rows[] = {{"just started", {}, 0},
+                        {"after a second", milliseconds(1000), 5},
+                        {"after long", milliseconds(60000), 10}};
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        Desk desk;
+        desk.workers(12);
+        desk.now += row.waited;
+        unsigned passes = 0;
+        for (unsigned i = 1; i < 30; ++i) passes += desk.call(i, 0, 3).all<SendTry>().size();
+        CHECK(passes == row.most);
+    }
+}
+
+TEST_CASE("a cold worker gets a bounded share of tries at once, more as it warms") {
+    unsigned before = 0;
+    for (const int age : {0, 5000, 9000}) {
+        CAPTURE(age);
+        Desk desk;
+        desk.now = milliseconds(20000);
+        desk.list({Desk::worker(1, WorkerState::ready, desk.now - milliseconds(age) - Span{1})});
+        unsigned passes = 0;
+        for (unsigned i = 1; i < 30; ++i) passes += desk.call(i).all<SendTry>().size();
+        CHECK(passes >= std::max(1u, before));
+        CHECK(passes <= 4);
+        before = passes;
+    }
+}
+
+TEST_CASE("a worker whose silence is unusual loses what may run again, but never all workers at once") {
+    for (const bool others : {true, false}) {
+        CAPTURE(others);
+        Desk desk;
+        desk.workers(4);
+        std::uint64_t id = 1;
+        std::vector<std::pair<std::uint64_t, WorkerId>> out;
+        for (int round = 0; round < 40; ++round, desk.now += milliseconds(20)) {
+            for (int i = 0; i < 4; ++i, ++id) {
+                for (const SendTry &sent : desk.call(id).all<SendTry>()) out.push_back({id, sent.worker});
+            }
+            desk.pass(milliseconds(20));
+            for (const auto &[call, worker] : out) desk.ended(call, 0, worker, Outcome::answered, true);
+            out.clear();
+        }
+        for (int i = 0; i < 4; ++i, ++id) {
+            for (const SendTry &sent : desk.call(id).all<SendTry>()) out.push_back({id, sent.worker});
+        }
+        REQUIRE(out.size() == 4);
+        std::size_t off = 0;
+        for (int round = 0; round < 150; ++round) {
+            off += desk.pass(milliseconds(10)).all<CallOffTry>().size();
+            for (auto &[call, worker] : out) {
+                if (!others || worker == WorkerId{1} || call == 0) continue;
+                desk.ended(call, 0, worker, Outcome::answered, true);
+                call = 0;
+            }
+        }
+        CHECK(off == (others ? 1 : 0));
+    }
+}
