Share the first limit among gateways; rest below a limit of one; space cuts by the threshold

Cause: with nine gateways one try each already overdrives a worker, and cuts spaced by the late answer's own latency came seldom just when answers were latest.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -38,7 +38,7 @@
 constexpr double kCallsFirst = 200, kCallsLeast = 5, kCallsMost = 2000;  // to the counter, a second
 constexpr double kCallsMore = 5, kCallsCut = 0.7, kCallsAtOnce = 20;
 
-constexpr double kFirstLimit = 4;
+constexpr double kFirstLimit = 12;  // of all gateways together
 constexpr double kCrossing = 0.15;  // what another zone weighs in the ranking, in usual latencies
 constexpr double kLateAt = 0.2, kEasyAt = 0.08;  // of the latency target
 
@@ -102,11 +102,11 @@
 struct Worker {
     WorkerEntry entry;
     int out = 0;
-    double limit = kFirstLimit, share = 1;
+    double limit = 1, share = 1;
     Recent<16> slowness;  // latency over the route's usual one
     Recent<16> bad;       // 1: no good answer
     Recent<16> gaps;      // silences that ended, while something was out
-    Span quietSince{}, barredUntil{}, limitCutAt{};
+    Span quietSince{}, barredUntil{}, restUntil{}, limitCutAt{};
     int strikes = 0;
     double key = 1;
 };
@@ -679,7 +679,8 @@
                 const double most = beyondShare ? limitOf(worker) : std::min(worker.share, limitOf(worker));
                 const bool again = rq.tries > 0 && rq.worker == id && ranked.size() > 1;
                 if (worker.entry.state == WorkerState::ready && worker.out < most && !again &&
-                    now >= worker.barredUntil && inScope(rq, worker) && (!onTrial(worker) || mayRepeat(rq))) {
+                    now >= std::max(worker.barredUntil, worker.restUntil) && inScope(rq, worker) &&
+                    (!onTrial(worker) || mayRepeat(rq))) {
                     return id;
                 }
             }
@@ -706,12 +707,12 @@
 
     void learnLimit(Worker &worker, double latency, double target) {
         if (latency > kLateAt * target) {
-            if (now - worker.limitCutAt > Span{std::llround(latency * 1000)}) {
-                worker.limit = std::max(1.0, worker.limit * 0.85);
+            if (ms(now - worker.limitCutAt) > kLateAt * target) {
+                worker.limit = std::max(1.0 / facts.gateways, worker.limit * 0.85);
                 worker.limitCutAt = now;
             }
         } else if (latency < kEasyAt * target && worker.out >= 0.7 * worker.limit) {
-            worker.limit += 1 / worker.limit;
+            worker.limit += std::min(0.5, 1 / worker.limit);
         }
     }
 
@@ -754,6 +755,9 @@
             case Outcome::notSent: break;
         }
         if (ended.outcome != Outcome::answered && ended.outcome != Outcome::errored) return;
+        // A limit under one is kept by rests: so many gateways can't overdrive a worker with one try each.
+        const double rest = std::max(0.0, 1 / worker.limit - 1) * usualLatency();
+        worker.restUntil = now + Span{std::llround(rest * 1000)};
         worker.gaps.add(ms(now - worker.quietSince));
         worker.quietSince = now;
     }
@@ -808,6 +812,7 @@
                 worker.out = out;
                 worker.quietSince = now;
             }
+            if (worker.gaps.size() == 0) worker.limit = kFirstLimit / facts.gateways;
             worker.entry = entry;
         }
         rerank();
