Without the counter, halfway from an even share to the part last seen; fair reports when calls are short

Causes: with totals gone a gateway kept to an even share of a limit that its traffic does not follow, on own sends that did not fade; reads took calls from reports; flushes favoured customers with low numbers. A stream that has begun is now left alone. It may hurt where traffic moves between gateways while the counter is away.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -22,23 +22,22 @@
 
 using Milliseconds = std::chrono::duration<double, std::milli>;
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 constexpr Span kTick = milliseconds(10);
 constexpr TimerToken kTickToken{1};
 
 constexpr double kWindowStretch = 1.0;  // window length over burst / rate
-constexpr double kNearQuota = 0.5;
+constexpr double kNearQuota = 0.5;      // of the burst; below it totals are read again, at most so often:
 constexpr Span kRefresh = milliseconds(100);
 constexpr Span kHeadroom = milliseconds(500);
 constexpr double kJitter = 0.5;
-constexpr Span kFullFor = seconds(3);
-constexpr Span kOpenEpoch = seconds(20);
-constexpr Span kLongestKeep = seconds(60);
+constexpr Span kFullFor = milliseconds(3000);
+constexpr Span kOpenEpoch = milliseconds(20000);
+constexpr Span kLongestKeep = milliseconds(60000);
 constexpr double kCallsFirst = 200, kCallsLeast = 5, kCallsMost = 2000;  // to the counter, a second
 constexpr double kCallsMore = 5, kCallsCut = 0.7, kCallsAtOnce = 20;
 
-constexpr double kFirstLimit = 12;  // of all gateways together
+constexpr double kFirstLimit = 6;   // of all gateways together
 constexpr double kCrossing = 0.15;  // what another zone weighs in the ranking, in usual latencies
 constexpr double kLateAt = 0.2, kEasyAt = 0.08;  // of the latency target
 
@@ -84,8 +83,10 @@
         held_ = std::min(held_ + 1, most);
     }
     std::size_t size() const { return held_; }
-    double sum() const { return std::accumulate(samples_.begin(), samples_.begin() + held_, 0.0); }
-    double mean(double otherwise) const { return held_ > 0 ? sum() / static_cast<double>(held_) : otherwise; }
+    double mean(double otherwise) const {
+        const double sum = std::accumulate(samples_.begin(), samples_.begin() + held_, 0.0);
+        return held_ > 0 ? sum / static_cast<double>(held_) : otherwise;
+    }
 
 private:
     std::array<double, most> samples_{};
@@ -148,6 +149,7 @@
     Span fullAt{};  // when the open cap was last found full
     std::deque<CallId> held;
     std::size_t heldInCall = 0;
+    double seenPart = 1;
     double refilled = 0, guessed = 0;  // the quota's store as it is known, and what was guessed into it
     Span refilledAt{};
     double ceilingLeft = 0;
@@ -198,6 +200,7 @@
     double callsASecond = kCallsFirst, callsLeft = kCallsAtOnce;
     Span now{}, startedAt{}, pacedAt{}, paceCutAt{}, countOkAt{};
     bool ticking = false, countFailing = false;
+    CustomerId reportedTo;
     std::vector<Action> actions;
 
     std::vector<Action> handle(Span at, const Event &event) {
@@ -221,7 +224,8 @@
     static bool limitsRate(const Plan &plan) { return plan.rate > 0 && plan.burst > 0; }
 
     Span windowOf(const Plan &plan) const {
-        return Span{std::max<std::int64_t>(1, std::llround(kWindowStretch * plan.burst / plan.rate * 1e6))};
+        return limitsRate(plan) ? Span{1 + std::llround(kWindowStretch * plan.burst / plan.rate * 1e6)}
+                                : kOpenEpoch;
     }
 
     /// A phase for each customer, so that not all windows of a site turn at one moment.
@@ -232,14 +236,14 @@
     Customer &customerOf(const CallTaken &rq) {
         auto [at, fresh] = customers.try_emplace(rq.customer);
         Customer &cons = at->second;
-        if (fresh) {
-            cons.ceilingAt = startedAt;
-            cons.refilledAt = now;
-            cons.refilled = planOf(rq.plan).burst;
-        }
         cons.plan = rq.plan;
         cons.gateways = std::clamp(rq.gateways, 1u, facts.gateways);
         cons.seenAt = now;
+        if (!fresh) return cons;
+        cons.ceilingAt = startedAt;
+        cons.refilledAt = now;
+        cons.refilled = planOf(rq.plan).burst;
+        cons.seenPart = 1.0 / cons.gateways;
         return cons;
     }
 
@@ -248,21 +252,19 @@
         if (!limitsRate(plan)) return true;
         const double limit = plan.rate * ms(windowOf(plan)) / 1000;
         if (turn(id, cons)) {
-            const double own = cons.units.current.own() + cons.units.previous.own();
-            return own <= 0 || own + units <= limit / cons.gateways;
+            const double own = estimate(id, cons, &Count::own);
+            return own <= 0 || own + units <= limit * ourPart(cons);
         }
         // The estimate fades in proportion, the quota fills at its rate: after a burst it would refuse with
         // half of the quota unused. There, and only there, the refilled store has the last word.
-        return estimate(id, cons) + units <= limit || cons.refilled >= units;
+        return estimate(id, cons, &Count::use) + units <= limit || cons.refilled >= units;
     }
 
     /// The others' use a millisecond by the last totals; never above the rate, to which they are held too.
     double othersPerMs(const Customer &cons, Span length) const {
         const Count &current = cons.units.current, &previous = cons.units.previous;
-        const Span known =
-            (current.heard ? current.heardFor : Span{}) + (previous.heard ? previous.heardFor : Span{});
-        return std::min((current.others() + previous.others()) / std::max(ms(known), ms(length) / 4),
-                        planOf(cons.plan).rate / 1000);
+        const double known = std::max(ms(current.heardFor + previous.heardFor), ms(length) / 4);
+        return std::min((current.others() + previous.others()) / known, planOf(cons.plan).rate / 1000);
     }
 
     /// Brings windows and store up to now; true if neither window was heard of: only our share is safe then.
@@ -277,14 +279,17 @@
         return !cons.units.current.heard && !cons.units.previous.heard;
     }
 
-    double estimate(CustomerId id, const Customer &cons) const {
+    /// What of a limit is ours while nothing is heard: halfway from an even share to what was last seen.
+    double ourPart(const Customer &cons) const { return (1.0 / cons.gateways + cons.seenPart) / 2; }
+
+    double estimate(CustomerId id, const Customer &cons, double (Count::*use)() const) const {
         const Span length = windowOf(planOf(cons.plan)), into = phased(id, length) % length;
         const Count &current = cons.units.current, &previous = cons.units.previous;
         // Between replies the others go on: against old totals that let each gateway pass the limit alone.
         const double perMs = othersPerMs(cons, length), elapsed = ms(into) / ms(length);
         const double unseenCurrent = perMs * ms(into - current.heardFor);
         const double unseenPrevious = perMs * ms(length - previous.heardFor);
-        return current.use() + unseenCurrent + (previous.use() + unseenPrevious) * (1 - elapsed);
+        return (current.*use)() + unseenCurrent + ((previous.*use)() + unseenPrevious) * (1 - elapsed);
     }
 
     void rateLimit(CallId id, Span wait) {
@@ -309,7 +314,7 @@
     void report(CustomerId id, Meaning meaning, Count &count, Span length, bool read = false) {
         if (!facts.mayCount || count.index < 0 || count.callOut || !(count.due || read)) return;
         const bool asked = meaning == Meaning::open && !customers.at(id).held.empty();
-        if ((count.unsent == 0 && !read && !asked) || !mayCall()) return;
+        if ((count.unsent == 0 && !read && !asked) || !mayCall(read ? kCallsAtOnce / 2 : 1)) return;
         count.due = false;
         const CountName name = nameOf(id, meaning, count.index);
         countCalls[name] = {id, meaning, count.index, count.unsent};
@@ -332,12 +337,11 @@
     }
 
     void reportAll(CustomerId id, Customer &cons) {
-        if (const Plan &plan = planOf(cons.plan); limitsRate(plan)) {
-            report(id, Meaning::units, cons.units.current, windowOf(plan));
-            report(id, Meaning::units, cons.units.previous, windowOf(plan));
-        }
-        report(id, Meaning::open, cons.open.current, kOpenEpoch);
-        report(id, Meaning::open, cons.open.previous, kOpenEpoch);
+        const Span length = windowOf(planOf(cons.plan));
+        for (Count *count : {&cons.units.current, &cons.units.previous})
+            report(id, Meaning::units, *count, length);
+        for (Count *count : {&cons.open.current, &cons.open.previous})
+            report(id, Meaning::open, *count, kOpenEpoch);
     }
 
     void on(const CountAnswered &sum) {
@@ -370,6 +374,9 @@
                 cons.refilled -= count->others() - count->booked - cons.guessed;
                 count->booked = count->others();
                 cons.guessed = 0;
+                const Pair &both = cons.units;
+                const double all = both.current.total + both.previous.total;
+                if (all > 0) cons.seenPart = (both.current.confirmed + both.previous.confirmed) / all;
             }
         } else if (sum.outcome == Outcome::full || sum.outcome == Outcome::connectFailed) {
             count->unsent += call.amount;
@@ -387,10 +394,10 @@
 
     /// Paced by what the counter takes: it works on calls that nobody waits for too, so that too many bring
     /// less. Holds against a slow, full, silent or refusing counter and against very many gateways.
-    bool mayCall() {
+    bool mayCall(double spare) {
         callsLeft = std::min(kCallsAtOnce, callsLeft + callsASecond * ms(now - pacedAt) / 1000);
         pacedAt = now;
-        if (callsLeft < 1) return false;
+        if (callsLeft < spare) return false;
         callsLeft -= 1;
         return true;
     }
@@ -423,7 +430,7 @@
     double usualLatency() const {
         double sum = 0;
         for (const RouteRow &row : routes) sum += row.latencies.mean(ms(row.target) / 4);
-        return sum / static_cast<double>(std::max<std::size_t>(1, routes.size()));
+        return sum / std::max(1.0, static_cast<double>(routes.size()));
     }
 
     unsigned openShare(const Customer &cons) const {
@@ -452,13 +459,11 @@
         rq.held = true;
         cons.held.push_back(id);
         countOpen(rq, 1);
-        if (!cons.open.current.callOut) {
-            cons.heldInCall = cons.held.size();
-            decideHeld(cons, false, 0);
-        }
+        if (!cons.open.current.callOut) decideHeld(cons, false, 0);
     }
 
     void decideHeld(Customer &cons, bool ok, double total) {
+        if (!ok) cons.heldInCall = cons.held.size();
         const unsigned cap = planOf(cons.plan).openCap;
         const double most = ok ? cap : openShare(cons);
         double open = ok ? total + cons.open.previous.others() - static_cast<double>(cons.heldInCall)
@@ -470,8 +475,7 @@
         cons.heldInCall = 0;
         for (const CallId id : counted) {
             Call &rq = calls.at(id);
-            if (!rq.closed && open + 1 <= most) {
-                open += 1;
+            if (!rq.closed && ++open <= most) {
                 start(id, rq, cons);
                 continue;
             }
@@ -505,8 +509,8 @@
             return;
         }
         Customer &cons = customerOf(taken);
-        if (!admits(taken.customer, cons, taken.units) || !underCap(taken.customer, cons) ||
-            !underCeiling(cons, taken.units)) {
+        const bool within = admits(taken.customer, cons, taken.units) && underCap(taken.customer, cons);
+        if (!within || !underCeiling(cons, taken.units)) {
             rateLimit(taken.call, refillTime(taken.units, cons));
             refresh(taken.customer, cons);
             return;
@@ -581,10 +585,8 @@
         settle(rq, ended);
         if (rq.closed || ended.callClosed) {
             calls.erase(found);
-        } else if (mayTryAgain(rq)) {
-            line.push_back(ended.call);
         } else {
-            finish(ended.call, rq);
+            line.push_back(ended.call);
         }
         serveLine();
     }
@@ -601,19 +603,17 @@
     }
 
     void on(const TryFlowing &flowing) {
-        const auto found = workers.find(flowing.worker);
-        if (found != workers.end()) found->second.quietSince = now;
+        // A stream that has begun is the client's: it is neither called off nor answered again.
+        if (const auto found = calls.find(flowing.call); found != calls.end()) found->second.closed = true;
     }
 
     void on(const ClientGone &gone) {
         const auto found = calls.find(gone.call);
-        if (found == calls.end()) return;
-        found->second.closed = true;
-        if (!found->second.out && !found->second.held) {
-            calls.erase(found);
-        } else if (found->second.out && facts.mayCancel) {
-            actions.push_back(CallOffTry{gone.call, tryNumber(found->second)});
-        }
+        if (found == calls.end() || found->second.closed) return;
+        Call &rq = found->second;
+        rq.closed = true;
+        if (rq.out && facts.mayCancel) actions.push_back(CallOffTry{gone.call, tryNumber(rq)});
+        if (!rq.out && !rq.held) calls.erase(found);
     }
 
     TryNumber tryNumber(const Call &rq) const { return {static_cast<std::uint8_t>(rq.tries - 1)}; }
@@ -701,14 +701,14 @@
             worker.key = slow * (1 + worker.out) + (worker.entry.zone == facts.zone ? 0 : kCrossing);
             worker.share = worker.out + 1;
         }
-        std::stable_sort(ranked.begin(), ranked.end(),
-                         [this](WorkerId a, WorkerId b) { return workers.at(a).key < workers.at(b).key; });
+        const auto better = [this](WorkerId a, WorkerId b) { return workers.at(a).key < workers.at(b).key; };
+        std::stable_sort(ranked.begin(), ranked.end(), better);
     }
 
     void learnLimit(Worker &worker, double latency, double target) {
         if (latency > kLateAt * target) {
             if (ms(now - worker.limitCutAt) > kLateAt * target) {
-                worker.limit = std::max(1.0 / facts.gateways, worker.limit * 0.85);
+                worker.limit = std::max(1.0 / facts.gateways, worker.limit * 0.7);
                 worker.limitCutAt = now;
             }
         } else if (latency < kEasyAt * target && worker.out >= 0.7 * worker.limit) {
@@ -728,31 +728,22 @@
     }
 
     void learn(Worker &worker, const TryEnded &ended) {
-        const auto rq = calls.find(ended.call);
-        switch (ended.outcome) {
-            case Outcome::answered:
-                worker.bad.add(0);
-                worker.strikes = std::max(0, worker.strikes - 1);
-                if (rq != calls.end()) {
-                    RouteRow &row = routes[rq->second.route.value];
-                    row.latencies.add(ms(ended.latency));
-                    worker.slowness.add(ms(ended.latency) / std::max(0.1, row.latencies.mean(1)));
-                    learnLimit(worker, ms(ended.latency), ms(row.target));
-                }
-                break;
-            case Outcome::full:
-                worker.limit = std::max(1.0, std::min(worker.limit, worker.out - 1.0));
-                worker.barredUntil = std::max(worker.barredUntil, now + kBar / 2);
-                break;
-            case Outcome::errored:
-            case Outcome::timedOut:
-                worker.bad.add(1);
-                if (onTrial(worker)) strike(worker);
-                break;
-            case Outcome::connectFailed:
-            case Outcome::reset: strike(worker); break;
-            case Outcome::calledOff:
-            case Outcome::notSent: break;
+        if (const auto rq = calls.find(ended.call); ended.outcome == Outcome::answered) {
+            worker.bad.add(0);
+            worker.strikes = std::max(0, worker.strikes - 1);
+            if (rq == calls.end()) return;
+            RouteRow &row = routes[rq->second.route.value];
+            row.latencies.add(ms(ended.latency));
+            worker.slowness.add(ms(ended.latency) / std::max(0.1, row.latencies.mean(1)));
+            learnLimit(worker, ms(ended.latency), ms(row.target));
+        } else if (ended.outcome == Outcome::full) {
+            worker.limit = std::max(1.0, std::min(worker.limit, worker.out - 1.0));
+            worker.barredUntil = std::max(worker.barredUntil, now + kBar / 2);
+        } else if (ended.outcome == Outcome::errored || ended.outcome == Outcome::timedOut) {
+            worker.bad.add(1);
+            if (onTrial(worker)) strike(worker);
+        } else if (ended.outcome == Outcome::connectFailed || ended.outcome == Outcome::reset) {
+            strike(worker);
         }
         if (ended.outcome != Outcome::answered && ended.outcome != Outcome::errored) return;
         // A limit under one is kept by rests: so many gateways can't overdrive a worker with one try each.
@@ -824,18 +815,23 @@
         judge();
         rerank();
         serveLine();
+        // Short of calls, each tick goes on where the last one stopped: no customer waits behind a low
+        // number.
+        for (std::size_t left = customers.size(); left > 0 && callsLeft >= 1; --left) {
+            const auto next = customers.upper_bound(reportedTo);
+            const auto at = next != customers.end() ? next : customers.begin();
+            reportedTo = at->first;
+            reportAll(at->first, at->second);
+        }
         for (auto at = customers.begin(); at != customers.end();) {
             auto &[id, cons] = *at;
-            reportAll(id, cons);
             // Whatever kept the counter's answer away, none waits for it longer than the counter may take.
-            if (!cons.held.empty() && now - calls.at(cons.held.front()).taken > 2 * facts.countTimeout) {
-                cons.heldInCall = cons.held.size();
-                decideHeld(cons, false, 0);
-            }
+            const bool late =
+                !cons.held.empty() && now - calls.at(cons.held.front()).taken > 2 * facts.countTimeout;
+            if (late) decideHeld(cons, false, 0);
             const Plan &plan = planOf(cons.plan);
-            const Span idle = limitsRate(plan) ? 2 * windowOf(plan) : 2 * kOpenEpoch;
-            const bool over = now - cons.seenAt > idle && cons.openHere == 0 && plan.ceilingRate <= 0;
-            at = over ? customers.erase(at) : std::next(at);
+            const bool idle = now - cons.seenAt > 2 * windowOf(plan) && cons.openHere == 0;
+            at = idle && plan.ceilingRate <= 0 ? customers.erase(at) : std::next(at);
         }
     }
 
