Under pressure, calls that earn less for their time give way first

Cause: early rate-limits for want of room were blind to worth. It also shields dear plans in any shortage of workers; it may hurt a cheap route that is short of workers for long.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -6,7 +6,7 @@
 // The design: admits() decides at once from a cached two-window estimate; report() tells the counter of every
 // pass in the background, and the late reply refreshes the cache. Six mechanisms stand beside it:
 //   1 ranked fill: pick(), rerank(), learnLimit()    4 line of further tries: serveLine()
-//   2 health from silence and failures: judge()      5 guards: underCeiling(), underCap(), hold()
+//   2 health from silence and failures: judge()      5 guards: underCeiling(), underCap(), decideHeld()
 //   3 warm-up limits: coldLimit()                    6 trust in the counter: trusted(), mayCall(), refresh()
 #include <algorithm>
 #include <array>
@@ -16,6 +16,7 @@
 #include <deque>
 #include <map>
 #include <numeric>
+#include <utility>
 
 namespace arrowstile {
 namespace {
@@ -39,6 +40,7 @@
 
 constexpr double kFirstLimit = 6;   // of all gateways together
 constexpr double kCrossing = 0.15;  // what another zone weighs in the ranking, in usual latencies
+constexpr double kCheapPart = 0.6;  // of a limit, for the calls that earn least
 constexpr double kLateAt = 0.2, kEasyAt = 0.08;  // of the latency target
 
 constexpr double kSuspect = 4;  // phi: the present silence has a chance of 1 in 10^4
@@ -97,6 +99,7 @@
     Effect effect;
     RepeatScope scope;
     Span repeatWindow, target;
+    double value;
     Recent<64> latencies;
 };
 
@@ -156,16 +159,11 @@
     Span ceilingAt{}, seenAt{};
 };
 
-struct Call {
-    RouteId route;
-    PlanId plan;
-    CustomerId customer;
-    double units = 1;
-    Span taken{}, until{};
+struct Call : CallTaken {
+    Span taken{}, until{}, sentAt{}, maybeRanFrom{};
     unsigned tries = 0;
     bool out = false, held = false, closed = false, mayHaveRun = false;
     WorkerId worker{};
-    Span sentAt{}, maybeRanFrom{};
     WorkerEntry maybeRanAt{};
     std::int64_t openEpoch = -1;
 };
@@ -174,7 +172,6 @@
     CustomerId customer;
     Meaning meaning;
     std::int64_t index;
-    double amount;
 };
 
 }  // namespace
@@ -182,7 +179,9 @@
 struct Gatekeeper::Mind {
     Mind(const SiteFacts &given, std::uint64_t seed) : facts(given), chance(seed) {
         for (const Route &route : facts.routes) {
-            routes.push_back({route.effect, route.repeatScope, route.repeatWindow, route.latencyTarget, {}});
+            routes.push_back({route.effect, route.repeatScope, route.repeatWindow});
+            routes.back().target = route.latencyTarget;
+            routes.back().value = route.billedValue;
         }
     }
 
@@ -196,6 +195,7 @@
     std::map<CustomerId, Customer> customers;
     std::map<CountName, CountCall> countCalls;
     std::deque<CallId> line;
+    Recent<64> worths;
     double furtherLeft = kFurtherStore;
     double callsASecond = kCallsFirst, callsLeft = kCallsAtOnce;
     Span now{}, startedAt{}, pacedAt{}, paceCutAt{}, countOkAt{};
@@ -317,10 +317,9 @@
         if ((count.unsent == 0 && !read && !asked) || !mayCall(read ? kCallsAtOnce / 2 : 1)) return;
         count.due = false;
         const CountName name = nameOf(id, meaning, count.index);
-        countCalls[name] = {id, meaning, count.index, count.unsent};
+        countCalls[name] = {id, meaning, count.index};
         actions.push_back(AddCount{name, count.unsent, std::min(kLongestKeep, 3 * length)});
-        count.calling = count.unsent;
-        count.unsent = 0;
+        count.calling = std::exchange(count.unsent, 0);
         count.callOut = true;
         if (asked) customers.at(id).heldInCall = customers.at(id).held.size();
     }
@@ -356,11 +355,11 @@
         Customer &cons = customer->second;
         Count *count = (call.meaning == Meaning::units ? cons.units : cons.open).at(call.index);
         if (count == nullptr) return;
+        const double added = std::exchange(count->calling, 0);
         count->callOut = false;
-        count->calling = 0;
         if (ok) {
             // Answers come in call order: an add of unknown fate is in this total if it ever arrived.
-            count->confirmed += call.amount + count->unknown;
+            count->confirmed += added + count->unknown;
             count->unknown = 0;
             // A total below our own part has lost counts: what we know of counts until the window turns.
             count->total = std::max(sum.total, count->confirmed);
@@ -379,10 +378,10 @@
                 if (all > 0) cons.seenPart = (both.current.confirmed + both.previous.confirmed) / all;
             }
         } else if (sum.outcome == Outcome::full || sum.outcome == Outcome::connectFailed) {
-            count->unsent += call.amount;
+            count->unsent += added;
             count->due = true;
         } else {
-            count->unknown += call.amount;
+            count->unknown += added;
         }
         if (call.meaning == Meaning::open && count == &cons.open.current) decideHeld(cons, ok, count->total);
         reportAll(call.customer, cons);
@@ -454,14 +453,6 @@
         return room;
     }
 
-    /// With the cap lately full any cache is too old to tell: the try is counted and held for the answer.
-    void hold(CallId id, Call &rq, Customer &cons) {
-        rq.held = true;
-        cons.held.push_back(id);
-        countOpen(rq, 1);
-        if (!cons.open.current.callOut) decideHeld(cons, false, 0);
-    }
-
     void decideHeld(Customer &cons, bool ok, double total) {
         if (!ok) cons.heldInCall = cons.held.size();
         const unsigned cap = planOf(cons.plan).openCap;
@@ -486,17 +477,16 @@
     }
 
     void countOpen(Call &rq, int step) {
-        const CustomerId id = rq.customer;
-        const auto found = customers.find(id);
+        const auto found = customers.find(rq.customer);
         if (found == customers.end() || planOf(rq.plan).openCap == 0) return;
         Customer &cons = found->second;
-        cons.open.turnTo(phased(id, kOpenEpoch) / kOpenEpoch);
+        cons.open.turnTo(phased(rq.customer, kOpenEpoch) / kOpenEpoch);
         cons.openHere = std::max(0, cons.openHere + step);
         if (step > 0) rq.openEpoch = cons.open.current.index;
         if (Count *count = cons.open.at(rq.openEpoch)) {
             count->unsent += step;
             count->due = true;
-            report(id, Meaning::open, *count, kOpenEpoch);
+            report(rq.customer, Meaning::open, *count, kOpenEpoch);
         }
     }
 
@@ -515,18 +505,17 @@
             refresh(taken.customer, cons);
             return;
         }
-        Call &rq = calls[taken.call];
-        rq = {.route = taken.route, .plan = taken.plan, .customer = taken.customer, .units = taken.units};
-        rq.taken = now;
-        rq.until = now + taken.left;
-        if (nearCap(cons) && trusted() && taken.left > 4 * facts.countTimeout) {
-            hold(taken.call, rq, cons);
-        } else {
-            start(taken.call, rq, cons);
-        }
+        Call &rq = calls[taken.call] = {taken, now, now + taken.left};
+        // With the cap lately full any cache is too old: the try is counted first and held for the answer.
+        rq.held = nearCap(cons) && trusted() && taken.left > 4 * facts.countTimeout;
+        if (!rq.held) return start(taken.call, rq, cons);
+        cons.held.push_back(taken.call);
+        countOpen(rq, 1);
+        if (!cons.open.current.callOut) decideHeld(cons, false, 0);
     }
 
     void start(CallId id, Call &rq, Customer &cons) {
+        worths.add(worthOf(rq));
         const auto worker = underCeiling(cons, rq.units) ? pick(rq) : std::nullopt;
         if (!worker) {
             if (rq.held) countOpen(rq, -1);
@@ -593,13 +582,11 @@
 
     /// Guessed units are put right in the estimate at once, and at the counter with the next add.
     void settle(const Call &rq, const TryEnded &ended) {
-        const Plan &plan = planOf(rq.plan);
         const auto found = customers.find(rq.customer);
-        if (ended.trueUnits && found != customers.end() && limitsRate(plan)) {
-            turn(rq.customer, found->second);
-            found->second.refilled -= *ended.trueUnits - rq.units;
-            found->second.units.current.unsent += *ended.trueUnits - rq.units;
-        }
+        if (!ended.trueUnits || found == customers.end() || !limitsRate(planOf(rq.plan))) return;
+        turn(rq.customer, found->second);
+        found->second.refilled -= *ended.trueUnits - rq.units;
+        found->second.units.current.unsent += *ended.trueUnits - rq.units;
     }
 
     void on(const TryFlowing &flowing) {
@@ -672,11 +659,19 @@
 
     // ---- 1: ranked fill ----
 
+    /// Where workers are pressed the calls that earn less for the time they take give way first.
+    double worthOf(const Call &rq) const {
+        const RouteRow &row = routes[rq.route.value];
+        return row.value * planOf(rq.plan).price / row.latencies.mean(ms(row.target));
+    }
+
     std::optional<WorkerId> pick(const Call &rq) const {
+        const double part = std::clamp(worthOf(rq) / worths.mean(1), kCheapPart, 1.0);
         for (const bool beyondShare : {false, true}) {
             for (const WorkerId id : ranked) {
                 const Worker &worker = workers.at(id);
-                const double most = beyondShare ? limitOf(worker) : std::min(worker.share, limitOf(worker));
+                const double limit = limitOf(worker) * part,
+                             most = beyondShare ? limit : std::min(worker.share, limit);
                 const bool again = rq.tries > 0 && rq.worker == id && ranked.size() > 1;
                 if (worker.entry.state == WorkerState::ready && worker.out < most && !again &&
                     now >= std::max(worker.barredUntil, worker.restUntil) && inScope(rq, worker) &&
