--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -36,7 +36,7 @@
 constexpr Span kOpenEpoch = milliseconds(20000);
 constexpr Span kLongestKeep = milliseconds(60000);
 constexpr double kCallsFirst = 200, kCallsLeast = 5, kCallsMost = 2000;  // to the counter, a second
-constexpr double kCallsMore = 5, kCallsCut = 0.7, kCallsAtOnce = 20;
+constexpr double kCallsMore = 400, kCallsCut = 0.7, kCallsAtOnce = 20;
 
 constexpr double kFirstLimit = 6;   // of all gateways together
 constexpr double kCrossing = 0.15;  // what another zone weighs in the ranking, in usual latencies
@@ -349,7 +349,7 @@
         const CountCall call = found->second;
         countCalls.erase(found);
         const bool ok = sum.outcome == Outcome::answered;
-        learnPace(ok);
+        learnPace(ok, sum.latency);
         const auto customer = customers.find(call.customer);
         if (customer == customers.end()) return;
         Customer &cons = customer->second;
@@ -401,12 +401,12 @@
         return true;
     }
 
-    void learnPace(bool ok) {
+    void learnPace(bool ok, Span latency) {
         countFailing = !ok;
-        if (ok) {
-            countOkAt = now;
-            callsASecond = std::min(kCallsMost, callsASecond + kCallsMore);
-        } else if (now - paceCutAt > facts.countTimeout) {
+        if (ok) countOkAt = now;
+        if (ok && 4 * latency < facts.countTimeout) {
+            callsASecond = std::min(kCallsMost, callsASecond + kCallsMore / callsASecond);
+        } else if ((!ok || 2 * latency > facts.countTimeout) && now - paceCutAt > facts.countTimeout) {
             callsASecond = std::max(kCallsLeast, callsASecond * kCallsCut);
             callsLeft = std::min(callsLeft, 1.0);
             paceCutAt = now;
