Keep a share of an open cap under one by rests

Cause: where the counter has no room, nine to twelve gateways with a share of one each keep three to five times the cap open. Holds for any outage of the counter; it may refuse with room where one gateway has all the traffic.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -149,7 +149,7 @@
     unsigned gateways = 1;
     Pair units, open;
     int openHere = 0;
-    Span fullAt{};  // when the open cap was last found full
+    Span fullAt{}, openRest{};  // when the open cap was last full, and how long its share rests
     std::deque<CallId> held;
     std::size_t heldInCall = 0;
     double seenPart = 1;
@@ -432,8 +432,9 @@
         return sum / std::max(1.0, static_cast<double>(routes.size()));
     }
 
+    /// An even part of the cap; a part under one is kept by rests, as one each would be far too many.
     unsigned openShare(const Customer &cons) const {
-        return std::max(1u, planOf(cons.plan).openCap / cons.gateways);
+        return now < cons.openRest ? 0 : std::max(1u, planOf(cons.plan).openCap / cons.gateways);
     }
 
     bool nearCap(const Customer &cons) const { return cons.fullAt != Span{} && now - cons.fullAt < kFullFor; }
@@ -482,7 +483,10 @@
         Customer &cons = found->second;
         cons.open.turnTo(phased(rq.customer, kOpenEpoch) / kOpenEpoch);
         cons.openHere = std::max(0, cons.openHere + step);
+        const double part = static_cast<double>(planOf(rq.plan).openCap) / cons.gateways;
         if (step > 0) rq.openEpoch = cons.open.current.index;
+        if (step < 0)
+            cons.openRest = now + Span{std::llround(std::max(0.0, 1 / part - 1) * usualLatency() * 1000)};
         if (Count *count = cons.open.at(rq.openEpoch)) {
             count->unsent += step;
             count->due = true;
