Put no worker on trial for failures that most of them share

Cause found by a test: with all workers failing, every one was on trial and calls that can't run again were refused outright, for good where nothing else came. With most failing, suspicion is set aside. It should catch any shared dependency that fails; it may hurt where over half of the workers are truly sick. A full answer no longer raises a limit under one.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -21,7 +21,6 @@
 namespace arrowstile {
 namespace {
 
-using Milliseconds = std::chrono::duration<double, std::milli>;
 using std::chrono::milliseconds;
 
 constexpr Span kTick = milliseconds(10);
@@ -52,7 +51,9 @@
 constexpr double kFurtherShare = 0.2, kFurtherStore = 15;
 constexpr Span kRoomAdvice = milliseconds(250);
 
-double ms(Span span) { return Milliseconds(span).count(); }
+double ms(Span span) { return static_cast<double>(span.count()) / 1000; }
+
+Span spanOf(double inMs) { return Span{std::llround(inMs * 1000)}; }
 
 std::uint64_t mixed(std::uint64_t value) {
     value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ull;
@@ -199,7 +200,7 @@
     double furtherLeft = kFurtherStore;
     double callsASecond = kCallsFirst, callsLeft = kCallsAtOnce;
     Span now{}, startedAt{}, pacedAt{}, paceCutAt{}, countOkAt{};
-    bool ticking = false, countFailing = false;
+    bool ticking = false, countFailing = false, commonFailure = false;
     CustomerId reportedTo;
     std::vector<Action> actions;
 
@@ -224,7 +225,7 @@
     static bool limitsRate(const Plan &plan) { return plan.rate > 0 && plan.burst > 0; }
 
     Span windowOf(const Plan &plan) const {
-        return limitsRate(plan) ? Span{1 + std::llround(kWindowStretch * plan.burst / plan.rate * 1e6)}
+        return limitsRate(plan) ? Span{1} + spanOf(kWindowStretch * plan.burst / plan.rate * 1000)
                                 : kOpenEpoch;
     }
 
@@ -293,14 +294,14 @@
     }
 
     void rateLimit(CallId id, Span wait) {
-        const double most = static_cast<double>(std::min(wait, facts.longestAdvice).count());
-        const Span advice{std::llround(most * (1 - kJitter * chance.unit()))};
+        const double most = ms(std::min(wait, facts.longestAdvice));
+        const Span advice = spanOf(most * (1 - kJitter * chance.unit()));
         actions.push_back(RateLimit{id, facts.mayAdvise ? std::optional(advice) : std::nullopt});
     }
 
     Span refillTime(double units, const Customer &cons) const {
         const Plan &plan = planOf(cons.plan);
-        return kHeadroom + (plan.rate > 0 ? Span{std::llround(units / plan.rate * 1e6)} : Span{});
+        return kHeadroom + (plan.rate > 0 ? spanOf(units / plan.rate * 1000) : Span{});
     }
 
     // ---- 6: reports to the counter, and trust in it ----
@@ -485,8 +486,7 @@
         cons.openHere = std::max(0, cons.openHere + step);
         const double part = static_cast<double>(planOf(rq.plan).openCap) / cons.gateways;
         if (step > 0) rq.openEpoch = cons.open.current.index;
-        if (step < 0)
-            cons.openRest = now + Span{std::llround(std::max(0.0, 1 / part - 1) * usualLatency() * 1000)};
+        if (step < 0) cons.openRest = now + spanOf(std::max(0.0, 1 / part - 1) * usualLatency());
         if (Count *count = cons.open.at(rq.openEpoch)) {
             count->unsent += step;
             count->due = true;
@@ -551,8 +551,7 @@
         const bool trial = onTrial(worker) && mayRepeat(rq);
         const Span patience = std::max(facts.connectTimeout, routes[rq.route.value].target / 3);
         actions.push_back(SendTry{id, to, trial ? std::min(rq.until, now + patience) : rq.until});
-        if (!rq.held) countOpen(rq, 1);
-        rq.held = false;
+        if (!std::exchange(rq.held, false)) countOpen(rq, 1);
     }
 
     bool mayRepeat(const Call &rq) const { return routes[rq.route.value].effect != Effect::nonIdempotent; }
@@ -674,14 +673,11 @@
         for (const bool beyondShare : {false, true}) {
             for (const WorkerId id : ranked) {
                 const Worker &worker = workers.at(id);
-                const double limit = limitOf(worker) * part,
-                             most = beyondShare ? limit : std::min(worker.share, limit);
+                const double limit = limitOf(worker) * part, share = beyondShare ? limit : worker.share;
                 const bool again = rq.tries > 0 && rq.worker == id && ranked.size() > 1;
-                if (worker.entry.state == WorkerState::ready && worker.out < most && !again &&
-                    now >= std::max(worker.barredUntil, worker.restUntil) && inScope(rq, worker) &&
-                    (!onTrial(worker) || mayRepeat(rq))) {
-                    return id;
-                }
+                const bool open = now >= std::max(worker.barredUntil, worker.restUntil) &&
+                                  (!onTrial(worker) || mayRepeat(rq)) && inScope(rq, worker);
+                if (open && !again && worker.out < std::min(share, limit)) return id;
             }
         }
         return std::nullopt;
@@ -693,14 +689,17 @@
 
     void rerank() {
         ranked.clear();
+        std::size_t failures = 0;
         for (auto &[id, worker] : workers) {
             if (worker.entry.state != WorkerState::ready) continue;
             ranked.push_back(id);
+            failures += failing(worker);
             const double slow = std::clamp(worker.slowness.mean(1), 0.25, 4.0);
             worker.key = slow * (1 + worker.out) + (worker.entry.zone == facts.zone ? 0 : kCrossing);
             worker.share = worker.out + 1;
         }
         const auto better = [this](WorkerId a, WorkerId b) { return workers.at(a).key < workers.at(b).key; };
+        commonFailure = 2 * failures > ranked.size();  // most fail: something they share, and none is better
         std::stable_sort(ranked.begin(), ranked.end(), better);
     }
 
@@ -717,8 +716,12 @@
 
     // ---- 2: health ----
 
+    bool failing(const Worker &worker) const {
+        return worker.bad.size() >= kJudgedFrom && worker.bad.mean(0) > kBadShare;
+    }
+
     bool onTrial(const Worker &worker) const {
-        return worker.strikes > 0 || (worker.bad.size() >= kJudgedFrom && worker.bad.mean(0) > kBadShare);
+        return !commonFailure && (worker.strikes > 0 || failing(worker));
     }
 
     void strike(Worker &worker) {
@@ -736,7 +739,7 @@
             worker.slowness.add(ms(ended.latency) / std::max(0.1, row.latencies.mean(1)));
             learnLimit(worker, ms(ended.latency), ms(row.target));
         } else if (ended.outcome == Outcome::full) {
-            worker.limit = std::max(1.0, std::min(worker.limit, worker.out - 1.0));
+            worker.limit = std::min(worker.limit, std::max(1.0, worker.out - 1.0));
             worker.barredUntil = std::max(worker.barredUntil, now + kBar / 2);
         } else if (ended.outcome == Outcome::errored || ended.outcome == Outcome::timedOut) {
             worker.bad.add(1);
@@ -746,8 +749,7 @@
         }
         if (ended.outcome != Outcome::answered && ended.outcome != Outcome::errored) return;
         // A limit under one is kept by rests: so many gateways can't overdrive a worker with one try each.
-        const double rest = std::max(0.0, 1 / worker.limit - 1) * usualLatency();
-        worker.restUntil = now + Span{std::llround(rest * 1000)};
+        worker.restUntil = now + spanOf(std::max(0.0, 1 / worker.limit - 1) * usualLatency());
         worker.gaps.add(ms(now - worker.quietSince));
         worker.quietSince = now;
     }
--- a/tests/test_choice.cpp
+++ b/tests/test_choice.cpp
@@ -285,3 +285,30 @@
         CHECK(off == (others ? 1 : 0));
     }
 }
+
+TEST_CASE("a worker that fails loses what can't run again, unless most of them fail") {
+    for (const unsigned failing : {1u, 4u}) {
+        CAPTURE(failing);
+        Desk desk;
+        desk.workers(4);
+        for (std::uint64_t id = 1; id < 200; ++id) {
+            const auto sent = desk.call(id, 2).all<SendTry>();
+            desk.pass(milliseconds(10));
+            for (const SendTry &to : sent) {
+                const bool bad = to.worker.value <= failing;
+                desk.ended(id, 0, to.worker, bad ? Outcome::errored : Outcome::answered, !bad);
+            }
+            desk.pass(milliseconds(10));
+        }
+        unsigned toFirst = 0, all = 0;
+        for (std::uint64_t id = 300; id < 320; ++id) {
+            for (const SendTry &to : desk.call(id, 2).all<SendTry>()) {
+                toFirst += to.worker.value == 1;
+                ++all;
+                desk.pass(milliseconds(10)).ended(id, 0, to.worker, Outcome::answered, true);
+            }
+        }
+        CHECK(all == 20);
+        CHECK((toFirst > 0) == (failing > 1));
+    }
+}
