Cost follows events; silence weighs in the rank; cold workers by turns

Cause: each tick sorted all workers and walked all customers; every gateway had one try for a cold worker.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -6,7 +6,7 @@
 // The design: admits() decides at once from a cached two-window estimate; report() tells the counter of every
 // pass in the background, and the late reply refreshes the cache. Six mechanisms stand beside it:
 //   1 ranked fill: pick(), rerank(), learnLimit()    4 line of further tries: serveLine()
-//   2 health from silence and failures: judge()      5 guards: underCeiling(), underCap(), decideHeld()
+//   2 health from silence and failures: phi()      5 guards: underCeiling(), underCap(), decideHeld()
 //   3 warm-up limits: coldLimit()                    6 trust in the counter: trusted(), mayCall(), refresh()
 #include <algorithm>
 #include <array>
@@ -16,6 +16,7 @@
 #include <deque>
 #include <map>
 #include <numeric>
+#include <set>
 #include <utility>
 
 namespace arrowstile {
@@ -42,12 +43,13 @@
 constexpr double kCheapPart = 0.6;  // of a limit, for the calls that earn least
 constexpr double kLateAt = 0.2, kEasyAt = 0.08;  // of the latency target
 
-constexpr double kSuspect = 4;  // phi: the present silence has a chance of 1 in 10^4
+constexpr double kUsualPhi = 1;  // up to here a silence is nothing unusual
 constexpr double kBadShare = 0.3;
 constexpr std::size_t kJudgedFrom = 4;
 constexpr Span kBar = milliseconds(250);
 constexpr int kMostStrikes = 4;
 
+constexpr unsigned kTurnsFrom = 8;  // gateways
 constexpr double kFurtherShare = 0.2, kFurtherStore = 15;
 constexpr Span kRoomAdvice = milliseconds(250);
 
@@ -113,6 +115,7 @@
     Recent<16> gaps;      // silences that ended, while something was out
     Span quietSince{}, barredUntil{}, restUntil{}, limitCutAt{};
     int strikes = 0;
+    std::uint64_t sentInTurn = 0;  // the last turn of cold starts in which it was sent a try
     double key = 1;
 };
 
@@ -154,6 +157,7 @@
     std::deque<CallId> held;
     std::size_t heldInCall = 0;
     double seenPart = 1;
+    bool listed = false;  // stands in the list of those with a count to report
     double refilled = 0, guessed = 0;  // the quota's store as it is known, and what was guessed into it
     Span refilledAt{};
     double ceilingLeft = 0;
@@ -184,6 +188,7 @@
             routes.back().target = route.latencyTarget;
             routes.back().value = route.billedValue;
         }
+        usual = usualLatency();
     }
 
     SiteFacts facts;
@@ -191,17 +196,20 @@
     Chance chance;
     std::vector<RouteRow> routes;
     std::map<WorkerId, Worker> workers;
-    std::vector<WorkerId> ranked;
+    std::vector<Worker *> ranked;
     std::map<CallId, Call> calls;
     std::map<CustomerId, Customer> customers;
     std::map<CountName, CountCall> countCalls;
     std::deque<CallId> line;
+    std::deque<CustomerId> due;   // have a count to report
+    std::set<CustomerId> waits;   // hold calls for the counter
     Recent<64> worths;
     double furtherLeft = kFurtherStore;
     double callsASecond = kCallsFirst, callsLeft = kCallsAtOnce;
     Span now{}, startedAt{}, pacedAt{}, paceCutAt{}, countOkAt{};
-    bool ticking = false, countFailing = false, commonFailure = false;
-    CustomerId reportedTo;
+    bool ticking = false, countFailing = false, commonFailure = false, orderOld = true;
+    CustomerId lookedAt;
+    double usual = 0;  // latency, when the order was last renewed
     std::vector<Action> actions;
 
     std::vector<Action> handle(Span at, const Event &event) {
@@ -314,15 +322,20 @@
     /// counter fails, since it goes on working on calls that nobody waits for; none is dropped.
     void report(CustomerId id, Meaning meaning, Count &count, Span length, bool read = false) {
         if (!facts.mayCount || count.index < 0 || count.callOut || !(count.due || read)) return;
-        const bool asked = meaning == Meaning::open && !customers.at(id).held.empty();
-        if ((count.unsent == 0 && !read && !asked) || !mayCall(read ? kCallsAtOnce / 2 : 1)) return;
+        Customer &cons = customers.at(id);
+        const bool asked = meaning == Meaning::open && !cons.held.empty();
+        if (count.unsent == 0 && !read && !asked) return;
+        if (!mayCall(read ? kCallsAtOnce / 2 : 1)) {
+            if (count.due && !std::exchange(cons.listed, true)) due.push_back(id);
+            return;
+        }
         count.due = false;
         const CountName name = nameOf(id, meaning, count.index);
         countCalls[name] = {id, meaning, count.index};
         actions.push_back(AddCount{name, count.unsent, std::min(kLongestKeep, 3 * length)});
         count.calling = std::exchange(count.unsent, 0);
         count.callOut = true;
-        if (asked) customers.at(id).heldInCall = customers.at(id).held.size();
+        if (asked) cons.heldInCall = cons.held.size();
     }
 
     /// A refused customer reports nothing, so its totals would stand still while the other gateways go on
@@ -442,7 +455,7 @@
 
     /// Tries end soon: what the others had open when a total was heard fades with the usual latency.
     double stillOpen(const Count &count) const {
-        return count.others() * std::exp(-ms(now - count.heardAt) / usualLatency() / 3);
+        return count.others() * std::exp(-ms(now - count.heardAt) / usual / 3);
     }
 
     bool underCap(CustomerId id, Customer &cons) {
@@ -487,7 +500,7 @@
         cons.openHere = std::max(0, cons.openHere + step);
         const double part = static_cast<double>(planOf(rq.plan).openCap) / cons.gateways;
         if (step > 0) rq.openEpoch = cons.open.current.index;
-        if (step < 0) cons.openRest = now + spanOf(std::max(0.0, 1 / part - 1) * usualLatency());
+        if (step < 0) cons.openRest = now + spanOf(std::max(0.0, 1 / part - 1) * usual);
         if (Count *count = cons.open.at(rq.openEpoch)) {
             count->unsent += step;
             count->due = true;
@@ -514,6 +527,7 @@
         // With the cap lately full any cache is too old: the try is counted first and held for the answer.
         rq.held = nearCap(cons) && trusted() && taken.left > 4 * facts.countTimeout;
         if (!rq.held) return start(taken.call, rq, cons);
+        waits.insert(taken.customer);
         cons.held.push_back(taken.call);
         countOpen(rq, 1);
         if (!cons.open.current.callOut) decideHeld(cons, false, 0);
@@ -544,13 +558,14 @@
     void send(CallId id, Call &rq, WorkerId to) {
         Worker &worker = workers.at(to);
         if (worker.out++ == 0) worker.quietSince = now;
+        worker.sentInTurn = static_cast<std::uint64_t>(now / std::max(Span{1}, facts.fallSpan));
         ++rq.tries;
         rq.out = true;
         rq.worker = to;
         rq.sentAt = now;
         // On trial a worker gets only what may run again, and little time: against one that never answers.
-        const bool trial = onTrial(worker) && mayRepeat(rq);
         const Span patience = std::max(facts.connectTimeout, routes[rq.route.value].target / 3);
+        const bool trial = onTrial(worker) && mayRepeat(rq);
         actions.push_back(SendTry{id, to, trial ? std::min(rq.until, now + patience) : rq.until});
         if (!std::exchange(rq.held, false)) countOpen(rq, 1);
     }
@@ -669,23 +684,25 @@
         return row.value * planOf(rq.plan).price / row.latencies.mean(ms(row.target));
     }
 
-    std::optional<WorkerId> pick(const Call &rq) const {
+    std::optional<WorkerId> pick(const Call &rq) {
+        if (orderOld) rerank();
         const double part = std::clamp(worthOf(rq) / worths.mean(1), kCheapPart, 1.0);
         for (const bool beyondShare : {false, true}) {
-            for (const WorkerId id : ranked) {
-                const Worker &worker = workers.at(id);
-                const double limit = limitOf(worker) * part, share = beyondShare ? limit : worker.share;
+            for (const Worker *worker : ranked) {
+                const WorkerId id = worker->entry.worker;
+                if (now < std::max(worker->barredUntil, worker->restUntil)) continue;
+                if (!beyondShare && worker->out >= worker->share) continue;
                 const bool again = rq.tries > 0 && rq.worker == id && ranked.size() > 1;
-                const bool open = now >= std::max(worker.barredUntil, worker.restUntil) &&
-                                  (!onTrial(worker) || mayRepeat(rq)) && inScope(rq, worker);
-                if (open && !again && worker.out < std::min(share, limit)) return id;
+                if (again || (onTrial(*worker) && !mayRepeat(rq)) || !inScope(rq, *worker)) continue;
+                if (worker->out < limitOf(*worker) * part) return id;
             }
         }
         return std::nullopt;
     }
 
     double limitOf(const Worker &worker) const {
-        return onTrial(worker) ? 1 : std::min(worker.limit, coldLimit(worker));
+        const double cold = coldLimit(worker);
+        return onTrial(worker) ? std::min(1.0, cold) : std::min(worker.limit, cold);
     }
 
     void rerank() {
@@ -693,15 +710,17 @@
         std::size_t failures = 0;
         for (auto &[id, worker] : workers) {
             if (worker.entry.state != WorkerState::ready) continue;
-            ranked.push_back(id);
+            ranked.push_back(&worker);
             failures += failing(worker);
             const double slow = std::clamp(worker.slowness.mean(1), 0.25, 4.0);
-            worker.key = slow * (1 + worker.out) + (worker.entry.zone == facts.zone ? 0 : kCrossing);
+            worker.key = slow * (1 + worker.out) * std::max(1.0, phi(worker) / kUsualPhi) + (worker.entry.zone == facts.zone ? 0 : kCrossing);
             worker.share = worker.out + 1;
         }
-        const auto better = [this](WorkerId a, WorkerId b) { return workers.at(a).key < workers.at(b).key; };
+        const auto better = [](const Worker *a, const Worker *b) { return a->key < b->key; };
         commonFailure = 2 * failures > ranked.size();  // most fail: something they share, and none is better
         std::stable_sort(ranked.begin(), ranked.end(), better);
+        usual = usualLatency();
+        orderOld = false;
     }
 
     void learnLimit(Worker &worker, double latency, double target) {
@@ -750,44 +769,38 @@
         }
         if (ended.outcome != Outcome::answered && ended.outcome != Outcome::errored) return;
         // A limit under one is kept by rests: so many gateways can't overdrive a worker with one try each.
-        worker.restUntil = now + spanOf(std::max(0.0, 1 / worker.limit - 1) * usualLatency());
+        worker.restUntil = now + spanOf(std::max(0.0, 1 / worker.limit - 1) * usual);
         worker.gaps.add(ms(now - worker.quietSince));
         worker.quietSince = now;
     }
 
-    /// Phi accrual: how unlikely is the present silence, given the gaps before? Catches a worker that hangs,
-    /// stalls or is cut off. Judged against the median: when all fall silent the fault is not theirs.
-    void judge() {
-        std::vector<std::pair<double, WorkerId>> phis;
-        for (const auto &[id, worker] : workers) {
-            if (worker.entry.state == WorkerState::gone || worker.gaps.size() < kJudgedFrom) continue;
-            const double usual = std::max(1.0, worker.gaps.mean(1)) * std::log(10.0);
-            phis.emplace_back(worker.out > 0 ? ms(now - worker.quietSince) / usual : 0, id);
-        }
-        std::sort(phis.begin(), phis.end());
-        for (const auto &[phi, id] : phis) {
-            Worker &worker = workers.at(id);
-            if (worker.strikes > 0 || phi - 2 * phis[(phis.size() - 1) / 2].first < kSuspect) continue;
-            strike(worker);
-            for (const auto &[call, rq] : calls) {
-                if (rq.out && rq.worker == id && mayRepeat(rq) && !rq.closed && facts.mayCancel) {
-                    actions.push_back(CallOffTry{call, tryNumber(rq)});
-                }
-            }
-        }
+    /// Phi accrual: how unlikely is the present silence, given the gaps before? It weighs in the ranking, so
+    /// a worker that hangs, stalls or is cut off goes last, and when all are silent nothing changes.
+    double phi(const Worker &worker) const {
+        if (worker.out == 0 || worker.gaps.size() < kJudgedFrom) return 0;
+        return ms(now - worker.quietSince) / std::max(1.0, worker.gaps.mean(1)) / std::log(10.0);
     }
 
     // ---- 3: warm-up ----
 
     /// A cold worker ends no more than it can do, so what is out bounds what is sent: all gateways together
     /// may have (multiple - 1) x capacity x span of work out, each its even part, as if for a single core.
+    /// Where that part is under one try, gateways take turns by their number, a span each: one try each would
+    /// be a stampede. Two turns touch any span, so that a turn has half of the tries.
     double coldLimit(const Worker &worker) const {
         const Span age = now - worker.entry.startedAt;
         if (worker.entry.startedAt == Span{} || age >= facts.warmUp) return worker.limit;
         const double warm = std::max(0.0, ms(age) / ms(facts.warmUp));
         const double capacity = facts.coldShare + (1 - facts.coldShare) * warm;
-        const double work = (facts.fallMultiple - 1) * capacity * ms(facts.fallSpan);
-        return std::max(1.0, std::floor(work / usualLatency() / facts.gateways));
+        const double tries = (facts.fallMultiple - 1) * capacity * ms(facts.fallSpan) / usual;
+        if (tries >= facts.gateways || facts.gateways < kTurnsFrom) {
+            return std::max(1.0, std::floor(tries / facts.gateways));
+        }
+        const auto turn = static_cast<std::uint64_t>(now / facts.fallSpan);
+        const auto width = static_cast<std::uint64_t>(std::max(1.0, tries / 2));
+        const auto first = mixed(worker.entry.worker.value) + turn * width;
+        const bool ours = (facts.rank.value + first) % facts.gateways < width;
+        return ours && worker.sentInTurn != turn ? 1 : 0;
     }
 
     // ---- the list of workers, timers, and what this version has no use for ----
@@ -814,27 +827,37 @@
     void on(const TimerFired &fired) {
         if (fired.token != kTickToken) return;
         actions.push_back(SetTimer{now + kTick, kTickToken});
-        judge();
-        rerank();
-        serveLine();
-        // Short of calls, each tick goes on where the last one stopped: no customer waits behind a low
-        // number.
-        for (std::size_t left = customers.size(); left > 0 && callsLeft >= 1; --left) {
-            const auto next = customers.upper_bound(reportedTo);
-            const auto at = next != customers.end() ? next : customers.begin();
-            reportedTo = at->first;
-            reportAll(at->first, at->second);
+        orderOld = true;
+        if (!line.empty()) serveLine();
+        for (std::size_t left = due.size(); left > 0 && callsLeft >= 1; --left) {
+            const CustomerId id = due.front();
+            due.pop_front();
+            const auto at = customers.find(id);
+            if (at == customers.end()) continue;
+            at->second.listed = false;
+            reportAll(id, at->second);
         }
-        for (auto at = customers.begin(); at != customers.end();) {
-            auto &[id, cons] = *at;
+        for (auto at = waits.begin(); at != waits.end();) {
+            Customer &cons = customers.at(*at);
             // Whatever kept the counter's answer away, none waits for it longer than the counter may take.
             const bool late =
                 !cons.held.empty() && now - calls.at(cons.held.front()).taken > 2 * facts.countTimeout;
             if (late) decideHeld(cons, false, 0);
-            const Plan &plan = planOf(cons.plan);
-            const bool idle = now - cons.seenAt > 2 * windowOf(plan) && cons.openHere == 0;
-            at = idle && plan.ceilingRate <= 0 ? customers.erase(at) : std::next(at);
+            at = cons.held.empty() ? waits.erase(at) : std::next(at);
         }
+        dropIdle();
+    }
+
+    /// One customer a tick is looked at, in turn: the cost does not grow with their number.
+    void dropIdle() {
+        auto at = customers.upper_bound(lookedAt);
+        if (at == customers.end()) at = customers.begin();
+        if (at == customers.end()) return;
+        const auto &[id, cons] = *at;
+        lookedAt = id;
+        const Plan &plan = planOf(cons.plan);
+        const bool idle = now - cons.seenAt > 2 * windowOf(plan) && cons.openHere == 0 && !cons.listed;
+        if (idle && plan.ceilingRate <= 0) customers.erase(at);
     }
 
     void on(const ProbeEnded &) {}  // this version neither probes nor talks to its peers
