--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,12 +1,11 @@
 // Every decision of a gatekeeper. Hand each event to Gatekeeper::handle with the time, in the order in which
 // things happened, and carry out the actions that come back in theirs. The interface is declared in
-// include/arrowstile/gatekeeper.hpp; docs/design.md tells what is kept of the design's source and what
-// departs.
+// include/arrowstile/gatekeeper.hpp; docs/design.md tells what departs from the design's source.
 //
 // The design: admits() decides at once from a cached two-window estimate; report() tells the counter of every
 // pass in the background, and the late reply refreshes the cache. Six mechanisms stand beside it:
-//   1 ranked fill: pick(), rerank(), learnLimit()    4 line of further tries: serveLine()
-//   2 health from silence and failures: phi()      5 guards: underCeiling(), underCap(), decideHeld()
+//   1 ranked fill: pick(), reorder(), learnLimit()   4 line of further tries: serveLine()
+//   2 health by route and silence: learn(), phi()    5 guards: underCeiling(), underCap(), decideHeld()
 //   3 warm-up limits: coldLimit()                    6 trust in the counter: trusted(), mayCall(), refresh()
 #include <algorithm>
 #include <array>
@@ -16,7 +15,8 @@
 #include <deque>
 #include <map>
 #include <numeric>
-#include <set>
+#include <ranges>
+#include <tuple>
 #include <utility>
 
 namespace arrowstile {
@@ -27,31 +27,27 @@
 constexpr Span kTick = milliseconds(10);
 constexpr TimerToken kTickToken{1};
 
-constexpr double kWindowStretch = 1.0;  // window length over burst / rate
-constexpr double kNearQuota = 0.5;      // of the burst; below it totals are read again, at most so often:
+constexpr double kNearQuota = 0.5;  // of the burst; below it totals are read again, at most so often:
 constexpr Span kRefresh = milliseconds(100);
-constexpr Span kHeadroom = milliseconds(500);
+constexpr Span kHeadroom = milliseconds(500), kRoomAdvice = milliseconds(250);
 constexpr double kJitter = 0.5;
-constexpr Span kFullFor = milliseconds(3000);
-constexpr Span kOpenEpoch = milliseconds(20000);
+constexpr Span kFullFor = milliseconds(3000), kOpenEpoch = milliseconds(20000);
 constexpr Span kLongestKeep = milliseconds(60000);
-constexpr double kCallsFirst = 200, kCallsLeast = 5, kCallsMost = 2000;  // to the counter, a second
-constexpr double kCallsMore = 400, kCallsCut = 0.7, kCallsAtOnce = 20;
+// To the counter, a second and at once: figures of all gateways together, each has its even part.
+constexpr double kCallsFirst = 600, kCallsLeast = 15, kCallsMost = 6000;
+constexpr double kCallsMore = 1200, kCallsCut = 0.7, kCallsAtOnce = 60;
 
-constexpr double kFirstLimit = 6;   // of all gateways together
+constexpr double kFewest = 8;                      // workers that a gateway uses at least
+constexpr double kFirstLimit = 6, kLimitMore = 4;  // of all gateways together
 constexpr double kCrossing = 0.15;  // what another zone weighs in the ranking, in usual latencies
 constexpr double kCheapPart = 0.6;  // of a limit, for the calls that earn least
 constexpr double kLateAt = 0.2, kEasyAt = 0.08;  // of the latency target
 
-constexpr double kUsualPhi = 1;  // up to here a silence is nothing unusual
 constexpr double kBadShare = 0.3;
 constexpr std::size_t kJudgedFrom = 4;
 constexpr Span kBar = milliseconds(250);
-constexpr int kMostStrikes = 4;
 
 constexpr unsigned kTurnsFrom = 8;  // gateways
-constexpr double kFurtherShare = 0.2, kFurtherStore = 15;
-constexpr Span kRoomAdvice = milliseconds(250);
 
 double ms(Span span) { return static_cast<double>(span.count()) / 1000; }
 
@@ -63,39 +59,18 @@
     return value ^ (value >> 31);
 }
 
-/// PCG-XSH-RR, 64 bits of state, 32 of output.
-class Chance {
-public:
-    explicit Chance(std::uint64_t seed) : state_(mixed(seed)) {}
-    double unit() {
-        const std::uint64_t old = state_;
-        state_ = old * 6364136223846793005ull + 1442695040888963407ull;
-        const auto shifted = static_cast<std::uint32_t>(((old >> 18) ^ old) >> 27);
-        return std::rotr(shifted, static_cast<int>(old >> 59)) / 4294967296.0;
-    }
-
-private:
-    std::uint64_t state_;
-};
-
 /// The last few samples of a measurement.
 template <std::size_t most>
-class Recent {
-public:
-    void add(double sample) {
-        samples_[next_] = sample;
-        next_ = (next_ + 1) % most;
-        held_ = std::min(held_ + 1, most);
-    }
-    std::size_t size() const { return held_; }
+struct Recent {
+    void add(double sample) { samples[added++ % most] = sample; }
+    std::size_t size() const { return std::min(added, most); }
+    double sum() const { return std::accumulate(samples.begin(), samples.begin() + size(), 0.0); }
     double mean(double otherwise) const {
-        const double sum = std::accumulate(samples_.begin(), samples_.begin() + held_, 0.0);
-        return held_ > 0 ? sum / static_cast<double>(held_) : otherwise;
+        return size() > 0 ? sum() / static_cast<double>(size()) : otherwise;
     }
 
-private:
-    std::array<double, most> samples_{};
-    std::size_t next_ = 0, held_ = 0;
+    std::array<double, most> samples{};
+    std::size_t added = 0;
 };
 
 struct RouteRow {
@@ -104,19 +79,23 @@
     Span repeatWindow, target;
     double value;
     Recent<64> latencies;
+    bool commonFailure = false;  // most workers fail: something they share, and none is better
+};
+
+/// How a worker does on one route: a fault may hit one route and spare the others.
+struct Health {
+    Recent<16> bad;  // 1: no good answer
+    Span barredUntil{};
 };
 
 struct Worker {
     WorkerEntry entry;
     int out = 0;
-    double limit = 1, share = 1;
+    double limit = 1, share = 1, key = 1;
     Recent<16> slowness;  // latency over the route's usual one
-    Recent<16> bad;       // 1: no good answer
     Recent<16> gaps;      // silences that ended, while something was out
-    Span quietSince{}, barredUntil{}, restUntil{}, limitCutAt{};
-    int strikes = 0;
-    std::uint64_t sentInTurn = 0;  // the last turn of cold starts in which it was sent a try
-    double key = 1;
+    Span quietSince{}, barredUntil{}, limitCutAt{}, endedAt{};  // endedAt: none before the first answer
+    std::vector<Health> health;                                 // by route
 };
 
 /// A count on the counter service as this gateway knows it.
@@ -154,14 +133,13 @@
     Pair units, open;
     int openHere = 0;
     Span fullAt{}, openRest{};  // when the open cap was last full, and how long its share rests
-    std::deque<CallId> held;
+    std::deque<CallId> held;    // for the counter's answer; the first so many are counted by the call out
     std::size_t heldInCall = 0;
-    double seenPart = 1;
-    bool listed = false;  // stands in the list of those with a count to report
+    bool known = false, listed = false;  // by the counter's replies; among those with a count to report
+    double othersPerMs = 0;  // their use by the last totals, never above the rate: they are held to it too
     double refilled = 0, guessed = 0;  // the quota's store as it is known, and what was guessed into it
-    Span refilledAt{};
     double ceilingLeft = 0;
-    Span ceilingAt{}, seenAt{};
+    Span refilledAt{}, ceilingAt{}, seenAt{};
 };
 
 struct Call : CallTaken {
@@ -173,43 +151,41 @@
     std::int64_t openEpoch = -1;
 };
 
-struct CountCall {
-    CustomerId customer;
-    Meaning meaning;
-    std::int64_t index;
-};
-
 }  // namespace
 
 struct Gatekeeper::Mind {
-    Mind(const SiteFacts &given, std::uint64_t seed) : facts(given), chance(seed) {
+    Mind(const SiteFacts &given, std::uint64_t seed) : facts(given), chanceState(mixed(seed)) {
         for (const Route &route : facts.routes) {
-            routes.push_back({route.effect, route.repeatScope, route.repeatWindow});
-            routes.back().target = route.latencyTarget;
-            routes.back().value = route.billedValue;
+            routes.push_back({route.effect,
+                              route.repeatScope,
+                              route.repeatWindow,
+                              route.latencyTarget,
+                              route.billedValue,
+                              {},
+                              false});
         }
-        usual = usualLatency();
+        rerank();
+        callsASecond = part(kCallsFirst);
+        callsLeft = atOnce();
     }
 
     SiteFacts facts;
     Plan unlimited;
-    Chance chance;
+    std::uint64_t chanceState;
     std::vector<RouteRow> routes;
     std::map<WorkerId, Worker> workers;
-    std::vector<Worker *> ranked;
+    std::vector<Worker *> order, ranked;
     std::map<CallId, Call> calls;
     std::map<CustomerId, Customer> customers;
-    std::map<CountName, CountCall> countCalls;
+    std::map<CountName, std::tuple<CustomerId, Meaning, std::int64_t>> countCalls;
     std::deque<CallId> line;
-    std::deque<CustomerId> due;   // have a count to report
-    std::set<CustomerId> waits;   // hold calls for the counter
+    std::deque<CustomerId> due;  // have a count to report, or calls held for the counter
     Recent<64> worths;
-    double furtherLeft = kFurtherStore;
-    double callsASecond = kCallsFirst, callsLeft = kCallsAtOnce;
-    Span now{}, startedAt{}, pacedAt{}, paceCutAt{}, countOkAt{};
-    bool ticking = false, countFailing = false, commonFailure = false, orderOld = true;
+    Recent<32> sendGaps;
+    double callsASecond = 0, callsLeft = 0, usual = 0;  // usual: latency, when the order was last renewed
+    Span now{}, startedAt{}, pacedAt{}, paceCutAt{}, countOkAt{}, sentLast{};
+    bool ticking = false, countFailing = false, orderOld = true;
     CustomerId lookedAt;
-    double usual = 0;  // latency, when the order was last renewed
     std::vector<Action> actions;
 
     std::vector<Action> handle(Span at, const Event &event) {
@@ -233,8 +209,7 @@
     static bool limitsRate(const Plan &plan) { return plan.rate > 0 && plan.burst > 0; }
 
     Span windowOf(const Plan &plan) const {
-        return limitsRate(plan) ? Span{1} + spanOf(kWindowStretch * plan.burst / plan.rate * 1000)
-                                : kOpenEpoch;
+        return limitsRate(plan) ? Span{1} + spanOf(plan.burst / plan.rate * 1000) : kOpenEpoch;
     }
 
     /// A phase for each customer, so that not all windows of a site turn at one moment.
@@ -252,7 +227,7 @@
         cons.ceilingAt = startedAt;
         cons.refilledAt = now;
         cons.refilled = planOf(rq.plan).burst;
-        cons.seenPart = 1.0 / cons.gateways;
+        cons.othersPerMs = planOf(rq.plan).rate / 1000 * (1 - 1.0 / cons.gateways);
         return cons;
     }
 
@@ -260,50 +235,47 @@
         const Plan &plan = planOf(cons.plan);
         if (!limitsRate(plan)) return true;
         const double limit = plan.rate * ms(windowOf(plan)) / 1000;
-        if (turn(id, cons)) {
-            const double own = estimate(id, cons, &Count::own);
-            return own <= 0 || own + units <= limit * ourPart(cons);
-        }
+        turn(id, cons);
+        const double own = cons.units.current.own() + cons.units.previous.own();
+        if (!cons.known && own <= 0) return true;
         // The estimate fades in proportion, the quota fills at its rate: after a burst it would refuse with
         // half of the quota unused. There, and only there, the refilled store has the last word.
-        return estimate(id, cons, &Count::use) + units <= limit || cons.refilled >= units;
-    }
-
-    /// The others' use a millisecond by the last totals; never above the rate, to which they are held too.
-    double othersPerMs(const Customer &cons, Span length) const {
-        const Count &current = cons.units.current, &previous = cons.units.previous;
-        const double known = std::max(ms(current.heardFor + previous.heardFor), ms(length) / 4);
-        return std::min((current.others() + previous.others()) / known, planOf(cons.plan).rate / 1000);
+        return estimate(id, cons) + units <= limit || (cons.known && cons.refilled >= units);
     }
 
-    /// Brings windows and store up to now; true if neither window was heard of: only our share is safe then.
-    bool turn(CustomerId id, Customer &cons) {
+    /// Brings windows and store up to now.
+    void turn(CustomerId id, Customer &cons) {
         const Plan &plan = planOf(cons.plan);
         const Span length = windowOf(plan);
         cons.units.turnTo(phased(id, length) / length);
-        const double passed = ms(now - cons.refilledAt), others = othersPerMs(cons, length) * passed;
+        const double passed = ms(now - cons.refilledAt), others = cons.othersPerMs * passed;
         cons.refilled = std::min(plan.burst, cons.refilled + plan.rate / 1000 * passed - others);
         cons.guessed += others;
         cons.refilledAt = now;
-        return !cons.units.current.heard && !cons.units.previous.heard;
     }
 
-    /// What of a limit is ours while nothing is heard: halfway from an even share to what was last seen.
-    double ourPart(const Customer &cons) const { return (1.0 / cons.gateways + cons.seenPart) / 2; }
-
-    double estimate(CustomerId id, const Customer &cons, double (Count::*use)() const) const {
+    /// Between replies the others go on: against old totals that let each gateway pass the limit alone.
+    /// Before the first reply that leaves an even share, in an outage what they left by the last replies.
+    double estimate(CustomerId id, const Customer &cons) const {
         const Span length = windowOf(planOf(cons.plan)), into = phased(id, length) % length;
         const Count &current = cons.units.current, &previous = cons.units.previous;
-        // Between replies the others go on: against old totals that let each gateway pass the limit alone.
-        const double perMs = othersPerMs(cons, length), elapsed = ms(into) / ms(length);
+        const double perMs = cons.othersPerMs, elapsed = ms(into) / ms(length);
         const double unseenCurrent = perMs * ms(into - current.heardFor);
         const double unseenPrevious = perMs * ms(length - previous.heardFor);
-        return (current.*use)() + unseenCurrent + ((previous.*use)() + unseenPrevious) * (1 - elapsed);
+        return current.use() + unseenCurrent + (previous.use() + unseenPrevious) * (1 - elapsed);
+    }
+
+    /// PCG-XSH-RR, 64 bits of state, 32 of output; from 0 to 1.
+    double chance() {
+        const std::uint64_t old = chanceState;
+        chanceState = old * 6364136223846793005ull + 1442695040888963407ull;
+        const auto shifted = static_cast<std::uint32_t>(((old >> 18) ^ old) >> 27);
+        return std::rotr(shifted, static_cast<int>(old >> 59)) / 4294967296.0;
     }
 
     void rateLimit(CallId id, Span wait) {
         const double most = ms(std::min(wait, facts.longestAdvice));
-        const Span advice = spanOf(most * (1 - kJitter * chance.unit()));
+        const Span advice = spanOf(most * (1 - kJitter * chance()));
         actions.push_back(RateLimit{id, facts.mayAdvise ? std::optional(advice) : std::nullopt});
     }
 
@@ -325,8 +297,8 @@
         Customer &cons = customers.at(id);
         const bool asked = meaning == Meaning::open && !cons.held.empty();
         if (count.unsent == 0 && !read && !asked) return;
-        if (!mayCall(read ? kCallsAtOnce / 2 : 1)) {
-            if (count.due && !std::exchange(cons.listed, true)) due.push_back(id);
+        if (!mayCall(read ? atOnce() / 2 : 1)) {
+            if (count.due) list(id, cons);
             return;
         }
         count.due = false;
@@ -338,6 +310,10 @@
         if (asked) cons.heldInCall = cons.held.size();
     }
 
+    void list(CustomerId id, Customer &cons) {
+        if (!std::exchange(cons.listed, true)) due.push_back(id);
+    }
+
     /// A refused customer reports nothing, so its totals would stand still while the other gateways go on
     /// passing: near the quota they are read again, at most so often and only when the customer asks.
     void refresh(CustomerId id, Customer &cons) {
@@ -351,45 +327,46 @@
 
     void reportAll(CustomerId id, Customer &cons) {
         const Span length = windowOf(planOf(cons.plan));
-        for (Count *count : {&cons.units.current, &cons.units.previous})
-            report(id, Meaning::units, *count, length);
-        for (Count *count : {&cons.open.current, &cons.open.previous})
-            report(id, Meaning::open, *count, kOpenEpoch);
+        for (auto at : {&Pair::current, &Pair::previous}) {
+            report(id, Meaning::units, cons.units.*at, length);
+            report(id, Meaning::open, cons.open.*at, kOpenEpoch);
+        }
     }
 
     void on(const CountAnswered &sum) {
         const auto found = countCalls.find(sum.name);
         if (found == countCalls.end()) return;
-        const CountCall call = found->second;
+        const auto [id, meaning, index] = found->second;
         countCalls.erase(found);
         const bool ok = sum.outcome == Outcome::answered;
         learnPace(ok, sum.latency);
-        const auto customer = customers.find(call.customer);
+        const auto customer = customers.find(id);
         if (customer == customers.end()) return;
         Customer &cons = customer->second;
-        Count *count = (call.meaning == Meaning::units ? cons.units : cons.open).at(call.index);
+        Count *count = (meaning == Meaning::units ? cons.units : cons.open).at(index);
         if (count == nullptr) return;
         const double added = std::exchange(count->calling, 0);
         count->callOut = false;
         if (ok) {
             // Answers come in call order: an add of unknown fate is in this total if it ever arrived.
-            count->confirmed += added + count->unknown;
-            count->unknown = 0;
+            count->confirmed += added + std::exchange(count->unknown, 0);
             // A total below our own part has lost counts: what we know of counts until the window turns.
             count->total = std::max(sum.total, count->confirmed);
             count->heard = true;
             count->heardAt = now;
-            if (call.meaning == Meaning::units) {
-                turn(call.customer, cons);
+            if (meaning == Meaning::units) {
+                turn(id, cons);
                 const Span length = windowOf(planOf(cons.plan));
                 const bool running = count == &cons.units.current;
-                count->heardFor = running ? phased(call.customer, length) % length : length;
+                count->heardFor = running ? phased(id, length) % length : length;
                 cons.refilled -= count->others() - count->booked - cons.guessed;
                 count->booked = count->others();
+                const Count &current = cons.units.current, &previous = cons.units.previous;
+                const double known = std::max(ms(current.heardFor + previous.heardFor), ms(length) / 4);
+                const double others = (current.others() + previous.others()) / known;
+                cons.othersPerMs = std::min(others, planOf(cons.plan).rate / 1000);
+                cons.known = true;
                 cons.guessed = 0;
-                const Pair &both = cons.units;
-                const double all = both.current.total + both.previous.total;
-                if (all > 0) cons.seenPart = (both.current.confirmed + both.previous.confirmed) / all;
             }
         } else if (sum.outcome == Outcome::full || sum.outcome == Outcome::connectFailed) {
             count->unsent += added;
@@ -397,8 +374,8 @@
         } else {
             count->unknown += added;
         }
-        if (call.meaning == Meaning::open && count == &cons.open.current) decideHeld(cons, ok, count->total);
-        reportAll(call.customer, cons);
+        if (meaning == Meaning::open && count == &cons.open.current) decideHeld(cons, ok, count->total);
+        reportAll(id, cons);
     }
 
     bool trusted() const {
@@ -407,21 +384,22 @@
 
     /// Paced by what the counter takes: it works on calls that nobody waits for too, so that too many bring
     /// less. Holds against a slow, full, silent or refusing counter and against very many gateways.
+    double part(double ofAll) const { return ofAll / facts.gateways; }
+    double atOnce() const { return std::max(2.0, part(kCallsAtOnce)); }
+
     bool mayCall(double spare) {
-        callsLeft = std::min(kCallsAtOnce, callsLeft + callsASecond * ms(now - pacedAt) / 1000);
+        callsLeft = std::min(atOnce(), callsLeft + callsASecond * ms(now - pacedAt) / 1000);
         pacedAt = now;
-        if (callsLeft < spare) return false;
-        callsLeft -= 1;
-        return true;
+        return callsLeft >= spare && (callsLeft -= 1, true);
     }
 
     void learnPace(bool ok, Span latency) {
         countFailing = !ok;
         if (ok) countOkAt = now;
         if (ok && 4 * latency < facts.countTimeout) {
-            callsASecond = std::min(kCallsMost, callsASecond + kCallsMore / callsASecond);
+            callsASecond = std::min(part(kCallsMost), callsASecond + part(kCallsMore) / callsASecond);
         } else if ((!ok || 2 * latency > facts.countTimeout) && now - paceCutAt > facts.countTimeout) {
-            callsASecond = std::max(kCallsLeast, callsASecond * kCallsCut);
+            callsASecond = std::max(part(kCallsLeast), callsASecond * kCallsCut);
             callsLeft = std::min(callsLeft, 1.0);
             paceCutAt = now;
         }
@@ -440,12 +418,6 @@
         return cons.ceilingLeft >= units;
     }
 
-    double usualLatency() const {
-        double sum = 0;
-        for (const RouteRow &row : routes) sum += row.latencies.mean(ms(row.target) / 4);
-        return sum / std::max(1.0, static_cast<double>(routes.size()));
-    }
-
     /// An even part of the cap; a part under one is kept by rests, as one each would be far too many.
     unsigned openShare(const Customer &cons) const {
         return now < cons.openRest ? 0 : std::max(1u, planOf(cons.plan).openCap / cons.gateways);
@@ -484,11 +456,11 @@
             Call &rq = calls.at(id);
             if (!rq.closed && ++open <= most) {
                 start(id, rq, cons);
-                continue;
+            } else {
+                countOpen(rq, -1);
+                if (!rq.closed) rateLimit(id, refillTime(rq.units, cons));
+                calls.erase(id);
             }
-            countOpen(rq, -1);
-            if (!rq.closed) rateLimit(id, refillTime(rq.units, cons));
-            calls.erase(id);
         }
     }
 
@@ -512,10 +484,7 @@
 
     void on(const CallTaken &taken) {
         if (calls.contains(taken.call)) return;
-        if (taken.route.value >= routes.size()) {
-            actions.push_back(GiveError{taken.call});
-            return;
-        }
+        if (taken.route.value >= routes.size()) return actions.push_back(GiveError{taken.call});
         Customer &cons = customerOf(taken);
         const bool within = admits(taken.customer, cons, taken.units) && underCap(taken.customer, cons);
         if (!within || !underCeiling(cons, taken.units)) {
@@ -527,7 +496,7 @@
         // With the cap lately full any cache is too old: the try is counted first and held for the answer.
         rq.held = nearCap(cons) && trusted() && taken.left > 4 * facts.countTimeout;
         if (!rq.held) return start(taken.call, rq, cons);
-        waits.insert(taken.customer);
+        list(taken.customer, cons);
         cons.held.push_back(taken.call);
         countOpen(rq, 1);
         if (!cons.open.current.callOut) decideHeld(cons, false, 0);
@@ -542,30 +511,27 @@
             calls.erase(id);
             return;
         }
-        const Plan &plan = planOf(cons.plan);
         cons.ceilingLeft -= rq.units;
-        furtherLeft = std::min(kFurtherStore, furtherLeft + kFurtherShare);
         send(id, rq, *worker);
-        if (limitsRate(plan)) {
-            cons.refilled -= rq.units;
-            cons.units.current.unsent += rq.units;
-            cons.units.current.due = true;
-            report(rq.customer, Meaning::units, cons.units.current, windowOf(plan));
-            refresh(rq.customer, cons);
-        }
+        if (!limitsRate(planOf(cons.plan))) return;
+        cons.refilled -= rq.units;
+        cons.units.current.unsent += rq.units;
+        cons.units.current.due = true;
+        report(rq.customer, Meaning::units, cons.units.current, windowOf(planOf(cons.plan)));
+        refresh(rq.customer, cons);
     }
 
     void send(CallId id, Call &rq, WorkerId to) {
         Worker &worker = workers.at(to);
         if (worker.out++ == 0) worker.quietSince = now;
-        worker.sentInTurn = static_cast<std::uint64_t>(now / std::max(Span{1}, facts.fallSpan));
         ++rq.tries;
+        sendGaps.add(ms(now - std::exchange(sentLast, now)));
         rq.out = true;
         rq.worker = to;
         rq.sentAt = now;
         // On trial a worker gets only what may run again, and little time: against one that never answers.
         const Span patience = std::max(facts.connectTimeout, routes[rq.route.value].target / 3);
-        const bool trial = onTrial(worker) && mayRepeat(rq);
+        const bool trial = onTrial(worker, rq.route) && mayRepeat(rq);
         actions.push_back(SendTry{id, to, trial ? std::min(rq.until, now + patience) : rq.until});
         if (!std::exchange(rq.held, false)) countOpen(rq, 1);
     }
@@ -581,21 +547,15 @@
         rq.out = false;
         const bool neverRan = ended.outcome == Outcome::full || ended.outcome == Outcome::connectFailed ||
                               ended.outcome == Outcome::notSent;
-        if (at != workers.end()) {
-            at->second.out = std::max(0, at->second.out - 1);
-            if (!neverRan && !rq.mayHaveRun) {
-                rq.mayHaveRun = true;
-                rq.maybeRanFrom = rq.sentAt;
-                rq.maybeRanAt = at->second.entry;
-            }
+        if (at != workers.end()) at->second.out = std::max(0, at->second.out - 1);
+        if (at != workers.end() && !neverRan && !std::exchange(rq.mayHaveRun, true)) {
+            rq.maybeRanFrom = rq.sentAt;
+            rq.maybeRanAt = at->second.entry;
         }
         countOpen(rq, -1);
         settle(rq, ended);
-        if (rq.closed || ended.callClosed) {
-            calls.erase(found);
-        } else {
-            line.push_back(ended.call);
-        }
+        if (!rq.closed && !ended.callClosed) line.push_back(ended.call);
+        if (rq.closed || ended.callClosed) calls.erase(found);
         serveLine();
     }
 
@@ -609,7 +569,7 @@
     }
 
     void on(const TryFlowing &flowing) {
-        // A stream that has begun is the client's: it is neither called off nor answered again.
+        // A stream that has begun is the client's: neither called off nor answered again.
         if (const auto found = calls.find(flowing.call); found != calls.end()) found->second.closed = true;
     }
 
@@ -618,19 +578,19 @@
         if (found == calls.end() || found->second.closed) return;
         Call &rq = found->second;
         rq.closed = true;
-        if (rq.out && facts.mayCancel) actions.push_back(CallOffTry{gone.call, tryNumber(rq)});
+        const auto last = static_cast<std::uint8_t>(rq.tries - 1);
+        if (rq.out && facts.mayCancel) actions.push_back(CallOffTry{gone.call, {last}});
         if (!rq.out && !rq.held) calls.erase(found);
     }
 
-    TryNumber tryNumber(const Call &rq) const { return {static_cast<std::uint8_t>(rq.tries - 1)}; }
-
     /// The final answer, given as soon as nothing more will be tried.
     void finish(CallId id, const Call &rq) {
         const RouteRow &row = routes[rq.route.value];
-        const bool harmless = mayRunAgain(rq) && (!rq.mayHaveRun || row.effect == Effect::idempotent ||
-                                                  row.scope == RepeatScope::all);
-        if (harmless) rateLimit(id, kRoomAdvice);
-        if (!harmless) actions.push_back(GiveError{id});
+        const bool anywhere = row.effect == Effect::idempotent || row.scope == RepeatScope::all;
+        if (mayRunAgain(rq) && (!rq.mayHaveRun || anywhere))
+            rateLimit(id, kRoomAdvice);
+        else
+            actions.push_back(GiveError{id});
         calls.erase(id);
     }
 
@@ -664,15 +624,11 @@
             Call &rq = found->second;
             if (!mayTryAgain(rq)) {
                 finish(id, rq);
-                continue;
-            }
-            const auto worker = furtherLeft >= 1 ? pick(rq) : std::nullopt;
-            if (!worker) {
+            } else if (const auto worker = pick(rq)) {
+                send(id, rq, *worker);
+            } else {
                 line.push_back(id);
-                continue;
             }
-            furtherLeft -= 1;
-            send(id, rq, *worker);
         }
     }
 
@@ -690,86 +646,115 @@
         for (const bool beyondShare : {false, true}) {
             for (const Worker *worker : ranked) {
                 const WorkerId id = worker->entry.worker;
-                if (now < std::max(worker->barredUntil, worker->restUntil)) continue;
+                const Span barred = std::max(worker->barredUntil, worker->health[rq.route.value].barredUntil);
+                if (now < barred) continue;
                 if (!beyondShare && worker->out >= worker->share) continue;
                 const bool again = rq.tries > 0 && rq.worker == id && ranked.size() > 1;
-                if (again || (onTrial(*worker) && !mayRepeat(rq)) || !inScope(rq, *worker)) continue;
-                if (worker->out < limitOf(*worker) * part) return id;
+                const bool trial = onTrial(*worker, rq.route);
+                if (again || (trial && !mayRepeat(rq)) || !inScope(rq, *worker)) continue;
+                // A limit under one is kept by rests: so many gateways with one try each would be too many.
+                const double limit = std::min(trial ? 1 : worker->limit, coldLimit(*worker)) * part;
+                const double rest = (1 / std::max(1e-3, limit) - 1) * usual;
+                const bool rested = worker->endedAt == Span{} || ms(now - worker->endedAt) >= rest;
+                if (worker->out < limit && rested) return id;
             }
         }
         return std::nullopt;
     }
 
-    double limitOf(const Worker &worker) const {
-        const double cold = coldLimit(worker);
-        return onTrial(worker) ? std::min(1.0, cold) : std::min(worker.limit, cold);
+    /// Each gateway has an order of its own, its zone first, and uses about as many workers as it makes sends
+    /// a second: so it hears of each often, and all parts together cover the fleet.
+    void reorder() {
+        order.clear();
+        for (auto &[id, worker] : workers) {
+            if (worker.entry.state == WorkerState::ready) order.push_back(&worker);
+        }
+        const auto place = [this](const Worker *worker) {
+            const std::uint64_t own = mixed(mixed(facts.rank.value + 1) ^ worker->entry.worker.value);
+            return std::pair(worker->entry.zone != facts.zone, own);
+        };
+        std::ranges::stable_sort(order, {}, place);
+        rerank();
+    }
+
+    double wanted() const { return std::max(kFewest, 1000 / std::max(1e-3, sendGaps.mean(1000))); }
+
+    /// How many gateways use a worker, all being like this one.
+    double users() const {
+        const double all = static_cast<double>(order.size());
+        return facts.gateways * std::min(1.0, wanted() / std::max(1.0, all));
     }
 
     void rerank() {
         ranked.clear();
-        std::size_t failures = 0;
-        for (auto &[id, worker] : workers) {
-            if (worker.entry.state != WorkerState::ready) continue;
-            ranked.push_back(&worker);
-            failures += failing(worker);
-            const double slow = std::clamp(worker.slowness.mean(1), 0.25, 4.0);
-            worker.key = slow * (1 + worker.out) * std::max(1.0, phi(worker) / kUsualPhi) + (worker.entry.zone == facts.zone ? 0 : kCrossing);
-            worker.share = worker.out + 1;
+        std::size_t well = 0;
+        const double most = wanted();
+        for (Worker *worker : order) {
+            const bool turn = cold(*worker) && coldLimit(*worker) >= 1;
+            if (static_cast<double>(well) >= most && !turn) continue;
+            ranked.push_back(worker);
+            well +=
+                now >= worker->barredUntil && !cold(*worker) && std::ranges::none_of(worker->health, failing);
+            const double slow = std::clamp(worker->slowness.mean(1), 0.25, 4.0);
+            worker->key = slow * (1 + worker->out) * std::max(1.0, phi(*worker)) +
+                          (worker->entry.zone == facts.zone ? 0 : kCrossing);
+            worker->share = worker->out + 1;
+        }
+        for (std::size_t at = 0; at < routes.size(); ++at) {
+            const auto fails = [at](const Worker *worker) { return failing(worker->health[at]); };
+            const auto failures = static_cast<std::size_t>(std::ranges::count_if(ranked, fails));
+            routes[at].commonFailure = 4 * failures > 3 * ranked.size();
         }
-        const auto better = [](const Worker *a, const Worker *b) { return a->key < b->key; };
-        commonFailure = 2 * failures > ranked.size();  // most fail: something they share, and none is better
-        std::stable_sort(ranked.begin(), ranked.end(), better);
-        usual = usualLatency();
+        std::ranges::stable_sort(ranked, {}, &Worker::key);
+        usual = 0;
+        for (const RouteRow &row : routes) usual += row.latencies.mean(ms(row.target) / 4) / routes.size();
         orderOld = false;
     }
 
     void learnLimit(Worker &worker, double latency, double target) {
         if (latency > kLateAt * target) {
             if (ms(now - worker.limitCutAt) > kLateAt * target) {
-                worker.limit = std::max(1.0 / facts.gateways, worker.limit * 0.7);
+                worker.limit = std::max(1 / users(), worker.limit * 0.7);
                 worker.limitCutAt = now;
             }
         } else if (latency < kEasyAt * target && worker.out >= 0.7 * worker.limit) {
-            worker.limit += std::min(0.5, 1 / worker.limit);
+            worker.limit += std::min(kLimitMore / users(), 1 / worker.limit);
         }
     }
 
     // ---- 2: health ----
 
-    bool failing(const Worker &worker) const {
-        return worker.bad.size() >= kJudgedFrom && worker.bad.mean(0) > kBadShare;
-    }
-
-    bool onTrial(const Worker &worker) const {
-        return !commonFailure && (worker.strikes > 0 || failing(worker));
+    static bool failing(const Health &health) {
+        return health.bad.size() >= kJudgedFrom && health.bad.mean(0) > kBadShare;
     }
 
-    void strike(Worker &worker) {
-        worker.strikes = std::min(worker.strikes + 1, kMostStrikes);
-        worker.barredUntil = now + kBar * (1 << (worker.strikes - 1));
+    bool onTrial(const Worker &worker, RouteId route) const {
+        return !routes[route.value].commonFailure && failing(worker.health[route.value]);
     }
 
     void learn(Worker &worker, const TryEnded &ended) {
-        if (const auto rq = calls.find(ended.call); ended.outcome == Outcome::answered) {
-            worker.bad.add(0);
-            worker.strikes = std::max(0, worker.strikes - 1);
-            if (rq == calls.end()) return;
-            RouteRow &row = routes[rq->second.route.value];
+        const auto found = calls.find(ended.call);
+        if (found == calls.end()) return;
+        const RouteId route = found->second.route;
+        RouteRow &row = routes[route.value];
+        Health &health = worker.health[route.value];
+        const bool cut = ended.outcome == Outcome::connectFailed || ended.outcome == Outcome::reset;
+        if (ended.outcome == Outcome::answered) {
+            health.bad.add(0);
             row.latencies.add(ms(ended.latency));
             worker.slowness.add(ms(ended.latency) / std::max(0.1, row.latencies.mean(1)));
             learnLimit(worker, ms(ended.latency), ms(row.target));
         } else if (ended.outcome == Outcome::full) {
-            worker.limit = std::min(worker.limit, std::max(1.0, worker.out - 1.0));
+            worker.limit = std::max(1 / users(), std::min(worker.limit * 0.7, worker.out - 1.0));
             worker.barredUntil = std::max(worker.barredUntil, now + kBar / 2);
-        } else if (ended.outcome == Outcome::errored || ended.outcome == Outcome::timedOut) {
-            worker.bad.add(1);
-            if (onTrial(worker)) strike(worker);
-        } else if (ended.outcome == Outcome::connectFailed || ended.outcome == Outcome::reset) {
-            strike(worker);
+        } else if (cut || ended.outcome == Outcome::errored || ended.outcome == Outcome::timedOut) {
+            health.bad.add(1);
+            const auto bads = std::llround(health.bad.sum());
+            if (onTrial(worker, route)) health.barredUntil = now + kBar * bads;
+            if (cut) worker.barredUntil = now + kBar * bads;
         }
         if (ended.outcome != Outcome::answered && ended.outcome != Outcome::errored) return;
-        // A limit under one is kept by rests: so many gateways can't overdrive a worker with one try each.
-        worker.restUntil = now + spanOf(std::max(0.0, 1 / worker.limit - 1) * usual);
+        worker.endedAt = now;
         worker.gaps.add(ms(now - worker.quietSince));
         worker.quietSince = now;
     }
@@ -783,45 +768,46 @@
 
     // ---- 3: warm-up ----
 
+    bool cold(const Worker &worker) const {
+        return worker.entry.startedAt != Span{} && now - worker.entry.startedAt < facts.warmUp;
+    }
+
     /// A cold worker ends no more than it can do, so what is out bounds what is sent: all gateways together
     /// may have (multiple - 1) x capacity x span of work out, each its even part, as if for a single core.
     /// Where that part is under one try, gateways take turns by their number, a span each: one try each would
     /// be a stampede. Two turns touch any span, so that a turn has half of the tries.
     double coldLimit(const Worker &worker) const {
-        const Span age = now - worker.entry.startedAt;
-        if (worker.entry.startedAt == Span{} || age >= facts.warmUp) return worker.limit;
-        const double warm = std::max(0.0, ms(age) / ms(facts.warmUp));
+        if (!cold(worker)) return worker.limit;
+        const double warm = std::max(0.0, ms(now - worker.entry.startedAt) / ms(facts.warmUp));
         const double capacity = facts.coldShare + (1 - facts.coldShare) * warm;
         const double tries = (facts.fallMultiple - 1) * capacity * ms(facts.fallSpan) / usual;
         if (tries >= facts.gateways || facts.gateways < kTurnsFrom) {
             return std::max(1.0, std::floor(tries / facts.gateways));
         }
-        const auto turn = static_cast<std::uint64_t>(now / facts.fallSpan);
+        const auto turn = static_cast<std::uint64_t>(now / std::max(Span{1}, facts.fallSpan));
         const auto width = static_cast<std::uint64_t>(std::max(1.0, tries / 2));
-        const auto first = mixed(worker.entry.worker.value) + turn * width;
-        const bool ours = (facts.rank.value + first) % facts.gateways < width;
-        return ours && worker.sentInTurn != turn ? 1 : 0;
+        const auto place = facts.rank.value + mixed(worker.entry.worker.value) + turn * width;
+        return place % facts.gateways < width ? 1 : 0;
     }
 
     // ---- the list of workers, timers, and what this version has no use for ----
 
     void on(const WorkerListed &news) {
         if (news.how == ListNews::failed) return;
-        if (news.how != ListNews::changes) {
-            for (auto &[id, worker] : workers) worker.entry.state = WorkerState::gone;
+        for (auto &[id, worker] : workers) {
+            if (news.how != ListNews::changes) worker.entry.state = WorkerState::gone;
         }
         for (const WorkerEntry &entry : news.workers) {
             Worker &worker = workers[entry.worker];
-            if (worker.entry.startedAt != entry.startedAt) {
-                const int out = worker.out;
-                worker = Worker{};  // another process: nothing that was learned of the last one holds
-                worker.out = out;
-                worker.quietSince = now;
-            }
-            if (worker.gaps.size() == 0) worker.limit = kFirstLimit / facts.gateways;
+            // Another process: nothing that was learned of the last one holds.
+            if (worker.entry.startedAt != entry.startedAt) worker = {.out = worker.out, .quietSince = now};
             worker.entry = entry;
+            worker.health.resize(routes.size());
+        }
+        reorder();
+        for (auto &[id, worker] : workers) {
+            if (worker.gaps.size() == 0) worker.limit = kFirstLimit / users();
         }
-        rerank();
     }
 
     void on(const TimerFired &fired) {
@@ -829,39 +815,32 @@
         actions.push_back(SetTimer{now + kTick, kTickToken});
         orderOld = true;
         if (!line.empty()) serveLine();
-        for (std::size_t left = due.size(); left > 0 && callsLeft >= 1; --left) {
+        for (std::size_t left = due.size(); left > 0; --left) {
             const CustomerId id = due.front();
             due.pop_front();
-            const auto at = customers.find(id);
-            if (at == customers.end()) continue;
-            at->second.listed = false;
-            reportAll(id, at->second);
-        }
-        for (auto at = waits.begin(); at != waits.end();) {
-            Customer &cons = customers.at(*at);
+            Customer &cons = customers.at(id);
+            cons.listed = false;
             // Whatever kept the counter's answer away, none waits for it longer than the counter may take.
-            const bool late =
-                !cons.held.empty() && now - calls.at(cons.held.front()).taken > 2 * facts.countTimeout;
-            if (late) decideHeld(cons, false, 0);
-            at = cons.held.empty() ? waits.erase(at) : std::next(at);
+            const Span since = cons.held.empty() ? now : calls.at(cons.held.front()).taken;
+            if (now - since > 2 * facts.countTimeout) decideHeld(cons, false, 0);
+            reportAll(id, cons);
+            if (!cons.held.empty()) list(id, cons);
         }
         dropIdle();
     }
 
     /// One customer a tick is looked at, in turn: the cost does not grow with their number.
     void dropIdle() {
-        auto at = customers.upper_bound(lookedAt);
-        if (at == customers.end()) at = customers.begin();
+        const auto next = customers.upper_bound(lookedAt);
+        const auto at = next == customers.end() ? customers.begin() : next;
         if (at == customers.end()) return;
-        const auto &[id, cons] = *at;
-        lookedAt = id;
-        const Plan &plan = planOf(cons.plan);
-        const bool idle = now - cons.seenAt > 2 * windowOf(plan) && cons.openHere == 0 && !cons.listed;
-        if (idle && plan.ceilingRate <= 0) customers.erase(at);
+        const Customer &cons = at->second;
+        lookedAt = at->first;
+        const Span idle = cons.openHere > 0 || cons.listed ? Span{} : now - cons.seenAt;
+        if (idle > 2 * windowOf(planOf(cons.plan)) && planOf(cons.plan).ceilingRate <= 0) customers.erase(at);
     }
 
-    void on(const ProbeEnded &) {}  // this version neither probes nor talks to its peers
-    void on(const PeerHeard &) {}
+    void on(const auto &) {}  // this version neither probes nor talks to its peers
 };
 
 Gatekeeper::Gatekeeper(const SiteFacts &facts, std::uint64_t seed)
