The refilled store asks for room by the gateways that share a customer

Cause: totals grow old between a customer's calls through one gateway, the store takes the hopeful side each time.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -239,8 +239,10 @@
         const double own = cons.units.current.own() + cons.units.previous.own();
         if (!cons.known && own <= 0) return true;
         // The estimate fades in proportion, the quota fills at its rate: after a burst it would refuse with
-        // half of the quota unused. There, and only there, the refilled store has the last word.
-        return estimate(id, cons) + units <= limit || (cons.known && cons.refilled >= units);
+        // half of the quota unused. There, and only there, the refilled store has the last word, with room
+        // for the call that each of the others may have passed unseen, half of them at once.
+        const double unseen = std::max(1.0, cons.gateways / 2.0 - 1);
+        return estimate(id, cons) + units <= limit || (cons.known && cons.refilled >= units * unseen);
     }
 
     /// Brings windows and store up to now.
