--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -387,7 +387,7 @@
     /// Paced by what the counter takes: it works on calls that nobody waits for too, so that too many bring
     /// less. Holds against a slow, full, silent or refusing counter and against very many gateways.
     double part(double ofAll) const { return ofAll / facts.gateways; }
-    double atOnce() const { return std::max(2.0, part(kCallsAtOnce)); }
+    double atOnce() const { return std::max(4.0, part(kCallsAtOnce)); }
 
     bool mayCall(double spare) {
         callsLeft = std::min(atOnce(), callsLeft + callsASecond * ms(now - pacedAt) / 1000);
