--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,7 +1,6 @@
 // Every decision of a gatekeeper. Hand each event to Gatekeeper::handle with the time, in the order in which
 // things happened, and carry out the actions that come back in theirs. The interface is declared in
 // include/arrowstile/gatekeeper.hpp; docs/design.md tells what departs from the design's source.
-//
 // The design: admits() decides at once from a cached two-window estimate; report() tells the counter of every
 // pass in the background, and the late reply refreshes the cache. Six mechanisms stand beside it:
 //   1 ranked fill: pick(), reorder(), learnLimit()   4 line of further tries: serveLine()
@@ -27,27 +26,23 @@
 constexpr Span kTick = milliseconds(10);
 constexpr TimerToken kTickToken{1};
 
-constexpr double kNearQuota = 0.5;  // of the burst; below it totals are read again, at most so often:
-constexpr Span kRefresh = milliseconds(100);
-constexpr Span kHeadroom = milliseconds(500), kRoomAdvice = milliseconds(250);
+constexpr double kNearQuota = 0.5;            // of the burst; below it totals are read again,
+constexpr Span kRefresh = milliseconds(100);  // at most so often
+constexpr Span kHeadroom = milliseconds(500), kRoomAdvice = milliseconds(250), kBar = milliseconds(250);
 constexpr double kJitter = 0.5;
-constexpr Span kFullFor = milliseconds(3000), kOpenEpoch = milliseconds(20000);
-constexpr Span kLongestKeep = milliseconds(60000);
+constexpr Span kFullFor = milliseconds(3000), kOpenEpoch = milliseconds(20000),
+               kLongest = milliseconds(60000);
 // To the counter, a second and at once: figures of all gateways together, each has its even part.
 constexpr double kCallsFirst = 600, kCallsLeast = 15, kCallsMost = 6000;
 constexpr double kCallsMore = 1200, kCallsCut = 0.7, kCallsAtOnce = 60;
 
-constexpr double kFewest = 8;                      // workers that a gateway uses at least
-constexpr double kFirstLimit = 6, kLimitMore = 4;  // of all gateways together
-constexpr double kCrossing = 0.15;  // what another zone weighs in the ranking, in usual latencies
-constexpr double kCheapPart = 0.6;  // of a limit, for the calls that earn least
-constexpr double kLateAt = 0.2, kEasyAt = 0.08;  // of the latency target
+constexpr double kFewest = 8;                         // workers that a gateway uses at least
+constexpr double kFirstLimit = 6, kLimitMore = 4;     // of all gateways together
+constexpr double kCrossing = 0.15, kCheapPart = 0.6;  // of the usual latency; of a limit, for cheap calls
+constexpr double kLateAt = 0.2, kEasyAt = 0.08;       // of the latency target
 
 constexpr double kBadShare = 0.3;
-constexpr std::size_t kJudgedFrom = 4;
-constexpr Span kBar = milliseconds(250);
-
-constexpr unsigned kTurnsFrom = 8;  // gateways
+constexpr std::size_t kJudgedFrom = 4, kTurnsFrom = 8;  // samples; gateways
 
 double ms(Span span) { return static_cast<double>(span.count()) / 1000; }
 
@@ -155,14 +150,8 @@
 
 struct Gatekeeper::Mind {
     Mind(const SiteFacts &given, std::uint64_t seed) : facts(given), chanceState(mixed(seed)) {
-        for (const Route &route : facts.routes) {
-            routes.push_back({route.effect,
-                              route.repeatScope,
-                              route.repeatWindow,
-                              route.latencyTarget,
-                              route.billedValue,
-                              {},
-                              false});
+        for (const Route &rt : facts.routes) {
+            routes.push_back({rt.effect, rt.repeatScope, rt.repeatWindow, rt.latencyTarget, rt.billedValue});
         }
         rerank();
         callsASecond = part(kCallsFirst);
@@ -212,7 +201,7 @@
         return limitsRate(plan) ? Span{1} + spanOf(plan.burst / plan.rate * 1000) : kOpenEpoch;
     }
 
-    /// A phase for each customer, so that not all windows of a site turn at one moment.
+    /// A phase for each customer: not all windows turn at one moment.
     Span phased(CustomerId id, Span length) const {
         return now + Span{static_cast<std::int64_t>(mixed(id.value) >> 1) % length.count()};
     }
@@ -306,12 +295,22 @@
         count.due = false;
         const CountName name = nameOf(id, meaning, count.index);
         countCalls[name] = {id, meaning, count.index};
-        actions.push_back(AddCount{name, count.unsent, std::min(kLongestKeep, 3 * length)});
+        actions.push_back(AddCount{name, count.unsent, std::min(kLongest, 3 * length)});
         count.calling = std::exchange(count.unsent, 0);
         count.callOut = true;
         if (asked) cons.heldInCall = cons.held.size();
     }
 
+    /// Short of calls, those go first whose untold use is large beside what the customer has left.
+    double urgency(CustomerId id) const {
+        const Customer &cons = customers.at(id);
+        const Plan &plan = planOf(cons.plan);
+        if (!cons.held.empty()) return kLongest.count();
+        const double open = std::abs(cons.open.current.unsent) / std::max(1u, plan.openCap);
+        const double units = std::abs(cons.units.current.unsent) + std::abs(cons.units.previous.unsent);
+        return open + (limitsRate(plan) ? units / std::max(1.0, plan.burst - estimate(id, cons)) : 0);
+    }
+
     void list(CustomerId id, Customer &cons) {
         if (!std::exchange(cons.listed, true)) due.push_back(id);
     }
@@ -389,10 +388,10 @@
     double part(double ofAll) const { return ofAll / facts.gateways; }
     double atOnce() const { return std::max(4.0, part(kCallsAtOnce)); }
 
-    bool mayCall(double spare) {
+    bool mayCall(double spare, double spent = 1) {
         callsLeft = std::min(atOnce(), callsLeft + callsASecond * ms(now - pacedAt) / 1000);
         pacedAt = now;
-        return callsLeft >= spare && (callsLeft -= 1, true);
+        return callsLeft >= spare && (callsLeft -= spent, true);
     }
 
     void learnPace(bool ok, Span latency) {
@@ -509,9 +508,7 @@
         const auto worker = underCeiling(cons, rq.units) ? pick(rq) : std::nullopt;
         if (!worker) {
             if (rq.held) countOpen(rq, -1);
-            rateLimit(id, kRoomAdvice);
-            calls.erase(id);
-            return;
+            return finish(id, rq);
         }
         cons.ceilingLeft -= rq.units;
         send(id, rq, *worker);
@@ -531,10 +528,9 @@
         rq.out = true;
         rq.worker = to;
         rq.sentAt = now;
-        // On trial a worker gets only what may run again, and little time: against one that never answers.
-        const Span patience = std::max(facts.connectTimeout, routes[rq.route.value].target / 3);
-        const bool trial = onTrial(worker, rq.route) && mayRepeat(rq);
-        actions.push_back(SendTry{id, to, trial ? std::min(rq.until, now + patience) : rq.until});
+        // On trial a worker gets little time, against one that never answers.
+        const Span patience = onTrial(worker, rq.route) ? routes[rq.route.value].target / 3 : rq.left;
+        actions.push_back(SendTry{id, to, std::min(rq.until, now + patience)});
         if (!std::exchange(rq.held, false)) countOpen(rq, 1);
     }
 
@@ -555,23 +551,22 @@
             rq.maybeRanAt = at->second.entry;
         }
         countOpen(rq, -1);
-        settle(rq, ended);
+        if (ended.trueUnits) settle(rq, *ended.trueUnits - rq.units);
         if (!rq.closed && !ended.callClosed) line.push_back(ended.call);
         if (rq.closed || ended.callClosed) calls.erase(found);
         serveLine();
     }
 
     /// Guessed units are put right in the estimate at once, and at the counter with the next add.
-    void settle(const Call &rq, const TryEnded &ended) {
+    void settle(const Call &rq, double more) {
         const auto found = customers.find(rq.customer);
-        if (!ended.trueUnits || found == customers.end() || !limitsRate(planOf(rq.plan))) return;
+        if (found == customers.end() || !limitsRate(planOf(rq.plan))) return;
         turn(rq.customer, found->second);
-        found->second.refilled -= *ended.trueUnits - rq.units;
-        found->second.units.current.unsent += *ended.trueUnits - rq.units;
+        found->second.refilled -= more;
+        found->second.units.current.unsent += more;
     }
 
-    void on(const TryFlowing &flowing) {
-        // A stream that has begun is the client's: neither called off nor answered again.
+    void on(const TryFlowing &flowing) {  // the stream is the client's: no call off, no answer
         if (const auto found = calls.find(flowing.call); found != calls.end()) found->second.closed = true;
     }
 
@@ -589,10 +584,9 @@
     void finish(CallId id, const Call &rq) {
         const RouteRow &row = routes[rq.route.value];
         const bool anywhere = row.effect == Effect::idempotent || row.scope == RepeatScope::all;
-        if (mayRunAgain(rq) && (!rq.mayHaveRun || anywhere))
-            rateLimit(id, kRoomAdvice);
-        else
-            actions.push_back(GiveError{id});
+        const bool harmless = mayRunAgain(rq) && (!rq.mayHaveRun || anywhere);
+        if (harmless) rateLimit(id, kRoomAdvice);
+        if (!harmless) actions.push_back(GiveError{id});
         calls.erase(id);
     }
 
@@ -775,9 +769,8 @@
     }
 
     /// A cold worker ends no more than it can do, so what is out bounds what is sent: all gateways together
-    /// may have (multiple - 1) x capacity x span of work out, each its even part, as if for a single core.
-    /// Where that part is under one try, gateways take turns by their number, a span each: one try each would
-    /// be a stampede. Two turns touch any span, so that a turn has half of the tries.
+    /// may have (multiple - 1) x capacity x span of work out, as if for a single core. Where an even part is
+    /// under one try they take turns by number, a span each, with half of it, as two turns touch any span.
     double coldLimit(const Worker &worker) const {
         if (!cold(worker)) return worker.limit;
         const double warm = std::max(0.0, ms(now - worker.entry.startedAt) / ms(facts.warmUp));
@@ -801,7 +794,7 @@
         }
         for (const WorkerEntry &entry : news.workers) {
             Worker &worker = workers[entry.worker];
-            // Another process: nothing that was learned of the last one holds.
+            // Another process: nothing learned of the last one holds.
             if (worker.entry.startedAt != entry.startedAt) worker = {.out = worker.out, .quietSince = now};
             worker.entry = entry;
             worker.health.resize(routes.size());
@@ -817,14 +810,19 @@
         actions.push_back(SetTimer{now + kTick, kTickToken});
         orderOld = true;
         if (!line.empty()) serveLine();
-        for (std::size_t left = due.size(); left > 0; --left) {
-            const CustomerId id = due.front();
-            due.pop_front();
+        // Whatever keeps the counter's answer away, none waits for it longer than the counter may take.
+        for (const CustomerId id : std::vector(due.begin(), due.end())) {
             Customer &cons = customers.at(id);
-            cons.listed = false;
-            // Whatever kept the counter's answer away, none waits for it longer than the counter may take.
             const Span since = cons.held.empty() ? now : calls.at(cons.held.front()).taken;
             if (now - since > 2 * facts.countTimeout) decideHeld(cons, false, 0);
+        }
+        for (std::size_t left = due.size(); left > 0 && mayCall(1, 0); --left) {
+            const auto first =
+                std::ranges::max_element(due, {}, [this](CustomerId id) { return urgency(id); });
+            const CustomerId id = *first;
+            due.erase(first);
+            Customer &cons = customers.at(id);
+            cons.listed = false;
             reportAll(id, cons);
             if (!cons.held.empty()) list(id, cons);
         }
@@ -838,8 +836,8 @@
         if (at == customers.end()) return;
         const Customer &cons = at->second;
         lookedAt = at->first;
-        const Span idle = cons.openHere > 0 || cons.listed ? Span{} : now - cons.seenAt;
-        if (idle > 2 * windowOf(planOf(cons.plan)) && planOf(cons.plan).ceilingRate <= 0) customers.erase(at);
+        const bool kept = cons.openHere > 0 || cons.listed || planOf(cons.plan).ceilingRate > 0;
+        if (!kept && now - cons.seenAt > 2 * windowOf(planOf(cons.plan))) customers.erase(at);
     }
 
     void on(const auto &) {}  // this version neither probes nor talks to its peers
