--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -816,7 +816,7 @@
             const Span since = cons.held.empty() ? now : calls.at(cons.held.front()).taken;
             if (now - since > 2 * facts.countTimeout) decideHeld(cons, false, 0);
         }
-        for (std::size_t left = due.size(); left > 0 && mayCall(1, 0); --left) {
+        for (int left = static_cast<int>(callsLeft); left > 0 && !due.empty() && mayCall(1, 0); --left) {
             const auto first =
                 std::ranges::max_element(due, {}, [this](CustomerId id) { return urgency(id); });
             const CustomerId id = *first;
