--- a/src/simhost/facts_json.cpp
+++ b/src/facts/facts_json.cpp
@@ -3,9 +3,7 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
-#include "wire.hpp"
-
-namespace arrowstile::simhost {
+namespace arrowstile {
 namespace {
 
 using nlohmann::json;
@@ -23,7 +21,7 @@
             return meaning;
         }
     }
-    throw WireError("settings: '" + std::string(key) + "' is '" + word + "', which is not known");
+    throw FactsError("settings: '" + std::string(key) + "' is '" + word + "', which is not known");
 }
 
 LoadFigure readColumn(const std::string &name) {
@@ -126,12 +124,30 @@
 
 }  // namespace
 
-SiteFacts readFacts(std::string_view settings) {
+Site readSite(std::string_view settings) {
     try {
-        return readAll(json::parse(settings));
+        const json all = json::parse(settings);
+        Site site;
+        site.facts = readAll(all);
+        const auto names = [](const json &from, const char *list) {
+            std::vector<std::string> found;
+            for (const auto &one : from.value(list, json::array())) {
+                found.push_back(one.is_object() ? one.value("name", "") : one.get<std::string>());
+            }
+            return found;
+        };
+        site.routes = names(all, "classes");
+        site.plans = names(all, "packages");
+        site.zones = names(all, "azs");
+        site.kinds = names(all, "shapes");
+        site.loadColumns = names(part(all, "report"), "columns");
+        const json may = part(all, "permissions");
+        site.idleLimit = milliseconds(may, "keepaliveMs");
+        site.triesPerConnection = std::max(1u, may.value("streamsPerConn", 1u));
+        return site;
     } catch (const json::exception &error) {
-        throw WireError(std::string("settings: ") + error.what());
+        throw FactsError(std::string("settings: ") + error.what());
     }
 }
 
-}  // namespace arrowstile::simhost
+}  // namespace arrowstile
--- /dev/null
+++ b/src/net/clients.cpp
@@ -0,0 +1,196 @@
+#include "clients.hpp"
+
+#include <algorithm>
+
+namespace arrowstile {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int backlog = 1024;
+// Of a connection: commands that wait for an answer, and bytes that its reader leaves with us. Past them we stop
+// reading it, so that neither a flood nor a slow reader takes the memory of all.
+constexpr std::size_t mostWaiting = 512, mostUnsent = 256 * 1024, leastUnsent = 64 * 1024;
+// A planned stop: new connections go on coming for a while; one closed before then would only come back.
+constexpr Span stillComing = milliseconds(500), noneCame = milliseconds(200), lookAgain = milliseconds(20);
+
+}  // namespace
+
+struct Clients::Link final : Stream::Holder {
+    Link(Clients &clients, ClientId number, Span now) : all(clients), id(number), lastUsed(now) {}
+
+    std::size_t onBytes(std::string_view bytes) override {
+        std::size_t used = 0;
+        resp::Command command;
+        while (used < bytes.size() && !paused && !ending) {
+            const auto parsed = resp::parseCommand(bytes.substr(used), command);
+            if (parsed == resp::Parsed::more) break;
+            if (parsed == resp::Parsed::broken) {
+                ++all.around_.tally.badCommands;
+                say("-ERR Protocol error\r\n");
+                ending = true;
+                return bytes.size();
+            }
+            used += command.used;
+            lastUsed = all.around_.clock.now();
+            all.obey(*this, command);
+            holdBack();
+        }
+        partial = used < bytes.size();
+        return ending ? bytes.size() : used;
+    }
+
+    void onDrained() override { holdBack(); }
+
+    void onClosed() override { all.end(id); }
+
+    void say(std::string text) {
+        queue.answer(queue.open(), std::move(text));
+        all.unflushed_.insert(id);
+    }
+
+    bool idle() const { return queue.waiting() == 0 && stream->unsent() == 0 && !partial; }
+
+    void holdBack() {
+        const bool full = queue.waiting() >= mostWaiting || stream->unsent() >= mostUnsent;
+        const bool easy = queue.waiting() <= mostWaiting / 2 && stream->unsent() <= leastUnsent;
+        if (!(paused ? easy : full)) return;
+        paused = !paused;
+        stream->pause(paused);
+    }
+
+    Clients &all;
+    const ClientId id;
+    Stream::Ptr stream;
+    AnswerQueue queue;
+    Span lastUsed;
+    bool paused = false, partial = false, ending = false, finished = false;
+};
+
+void Clients::CloseListener::operator()(uv_tcp_t *listener) const {
+    uv_close(reinterpret_cast<uv_handle_t *>(listener),
+             [](uv_handle_t *handle) { delete reinterpret_cast<uv_tcp_t *>(handle); });
+}
+
+Clients::Clients(Surroundings &around, CallBook &book, std::size_t most)
+    : around_(around), book_(book), most_(most) {}
+
+Clients::~Clients() = default;
+
+void Clients::listen(const Address &at) {
+    listener_.reset(new uv_tcp_t);
+    uv_tcp_init(around_.loop, listener_.get());
+    listener_->data = this;
+    const sockaddr_in address = socketAddress(at);
+    int failed = uv_tcp_bind(listener_.get(), reinterpret_cast<const sockaddr *>(&address), 0);
+    if (failed == 0) {
+        failed = uv_listen(reinterpret_cast<uv_stream_t *>(listener_.get()), backlog,
+                           [](uv_stream_t *listener, int status) {
+                               if (status == 0) static_cast<Clients *>(listener->data)->accept();
+                           });
+    }
+    if (failed != 0) {
+        throw FactsError("can't listen on " + at.host + ":" + std::to_string(at.port) + ": " +
+                         uv_strerror(failed));
+    }
+}
+
+/// At the most that the limit on sockets leaves us, the one that has been idle longest makes room.
+bool Clients::makeRoom() {
+    if (links_.size() < most_) return true;
+    const auto oldest = std::ranges::min_element(links_, {}, [](const auto &one) {
+        return std::pair(!one.second->idle(), one.second->lastUsed);
+    });
+    if (oldest == links_.end() || !oldest->second->idle()) return false;
+    links_.erase(oldest);
+    return true;
+}
+
+void Clients::accept() {
+    const bool room = makeRoom();
+    const ClientId id{++lastId_};
+    cameAt_ = around_.clock.now();
+    auto link = std::make_unique<Link>(*this, id, cameAt_);
+    link->stream = Stream::accept(reinterpret_cast<uv_stream_t *>(listener_.get()), link.get());
+    if (!link->stream) return;
+    ++(room ? around_.tally.clientsAccepted : around_.tally.clientsTurnedAway);
+    if (room) links_.emplace(id, std::move(link));
+}
+
+bool Clients::obey(Link &link, const resp::Command &command) {
+    const std::string_view verb = command.words[0];
+    if (isApiCall(verb)) {
+        ApiCall call;
+        const auto wrong = readApiCall(command, around_.start.site, call);
+        if (wrong.empty()) {
+            const Place place = link.queue.open();
+            const CallTaken taken = call.taken;
+            const CallId id = book_.add(std::move(call), link.id, place, around_.clock.now());
+            around_.happened.emplace_back(taken);
+            std::get<CallTaken>(around_.happened.back()).call = id;
+            ++around_.tally.callsTaken;
+            return true;
+        }
+        ++around_.tally.badCommands;
+        link.say("-ERR " + std::string(wrong) + "\r\n");
+    } else if (verb == "PING") {
+        link.say(ready_ ? "+PONG\r\n" : "-LOADING not ready yet\r\n");
+    } else if (verb == "INFO") {
+        link.say(proxiedAnswer(around_.tally.text()));
+    } else {
+        ++around_.tally.badCommands;
+        link.say("-ERR unknown command\r\n");
+    }
+    return false;
+}
+
+void Clients::answer(const InHand &ended, std::string text) {
+    const auto found = links_.find(ended.client);
+    if (found == links_.end()) return;
+    found->second->queue.answer(ended.place, std::move(text));
+    unflushed_.insert(ended.client);
+}
+
+void Clients::flush() {
+    for (const ClientId id : std::exchange(unflushed_, {})) {
+        const auto found = links_.find(id);
+        if (found == links_.end()) continue;
+        Link &link = *found->second;
+        std::string text;
+        link.queue.take(text);
+        link.stream->write(text);
+        link.stream->flush();
+        link.holdBack();
+        if (link.ending && link.queue.waiting() == 0 && !std::exchange(link.finished, true)) {
+            link.stream->finish();
+        }
+    }
+}
+
+void Clients::end(ClientId id) {
+    for (const CallId call : book_.drop(id)) {
+        ++around_.tally.clientsGone;
+        around_.happened.emplace_back(ClientGone{call});
+    }
+    links_.erase(id);
+}
+
+void Clients::leave() {
+    if (std::exchange(leaving_, true)) return;
+    leftAt_ = around_.clock.now();
+    around_.alarms.set(leftAt_ + stillComing, [this] { leaveOn(); });
+}
+
+void Clients::leaveOn() {
+    const Span now = around_.clock.now();
+    if (now - cameAt_ > noneCame) listener_.reset();
+    for (auto &[id, link] : links_) {
+        if (link->idle() && !std::exchange(link->finished, true)) {
+            link->ending = true;
+            link->stream->finish();
+        }
+    }
+    if (!gone()) around_.alarms.set(now + lookAgain, [this] { leaveOn(); });
+}
+
+}  // namespace arrowstile
--- /dev/null
+++ b/src/net/clients.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+
+#include "core/call_book.hpp"
+#include "stream.hpp"
+#include "surroundings.hpp"
+
+namespace arrowstile {
+
+/// The side that faces clients: takes API calls off their connections and writes the answers in order.
+class Clients {
+public:
+    Clients(Surroundings &around, CallBook &book, std::size_t most);
+    ~Clients();
+
+    /// Throws FactsError if the address can't be listened on.
+    void listen(const Address &at);
+    void ready() { ready_ = true; }
+    void answer(const InHand &ended, std::string text);
+    void flush();
+    /// A planned stop: connections close between calls, and nobody new is let in once nobody comes any more.
+    void leave();
+    bool gone() const { return leaving_ && !listener_ && links_.empty(); }
+
+private:
+    struct Link;
+    struct CloseListener {
+        void operator()(uv_tcp_t *listener) const;
+    };
+
+    void accept();
+    bool makeRoom();
+    bool obey(Link &link, const resp::Command &command);
+    void end(ClientId id);
+    void leaveOn();
+
+    Surroundings &around_;
+    CallBook &book_;
+    const std::size_t most_;
+    std::unique_ptr<uv_tcp_t, CloseListener> listener_;
+    std::map<ClientId, std::unique_ptr<Link>> links_;
+    std::set<ClientId> unflushed_;
+    std::uint64_t lastId_ = 0;
+    bool ready_ = false, leaving_ = false;
+    Span leftAt_{}, cameAt_{};
+};
+
+}  // namespace arrowstile
--- /dev/null
+++ b/src/net/core/start_document.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <facts_json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace arrowstile {
+
+/// Where to reach somebody: a literal IPv4 address, as there is no DNS.
+struct Address {
+    std::string host;
+    int port = 0;
+    auto operator<=>(const Address &) const = default;
+};
+
+/// Throws FactsError, naming what the address is of.
+Address readAddress(std::string_view text, std::string_view whose);
+
+/// All that a gatekeeper is told when it starts.
+struct StartDocument {
+    std::string name;
+    Address listen, discovery;
+    std::optional<Address> counter, peerListen, peersAll;
+    std::vector<Address> peers;
+    std::uint64_t seed = 0;
+    unsigned sockets = 1024;
+    std::string known;  ///< the list of workers as last seen, empty if there is none
+    Site site;
+};
+
+/// Throws FactsError with one line that says what is wrong.
+StartDocument readStart(std::string_view text);
+
+}  // namespace arrowstile
--- /dev/null
+++ b/src/net/core/tally.cpp
@@ -0,0 +1,41 @@
+#include "tally.hpp"
+
+namespace arrowstile {
+
+std::string Tally::text() const {
+    const std::pair<const char *, std::uint64_t> lines[] = {
+        {"clients_accepted", clientsAccepted},
+        {"clients_turned_away", clientsTurnedAway},
+        {"bad_commands", badCommands},
+        {"calls_taken", callsTaken},
+        {"calls_proxied", proxied},
+        {"calls_rate_limited", rateLimited},
+        {"calls_errored", errored},
+        {"calls_abandoned", clientsGone},
+        {"tries_sent", triesSent},
+        {"tries_answered", triesAnswered},
+        {"tries_errored", triesErrored},
+        {"tries_full", triesFull},
+        {"tries_timed_out", triesTimedOut},
+        {"tries_unconnected", triesUnconnected},
+        {"tries_reset", triesReset},
+        {"tries_called_off", triesCalledOff},
+        {"tries_not_sent", triesNotSent},
+        {"worker_connections", workerConnections},
+        {"counts_sent", countsSent},
+        {"counts_answered", countsAnswered},
+        {"counts_lost", countsLost},
+        {"counter_connections", counterConnections},
+        {"lists", lists},
+        {"watches", watches},
+        {"peer_messages_in", peerMessagesIn},
+        {"peer_messages_out", peerMessagesOut},
+    };
+    std::string text;
+    for (const auto &[name, value] : lines) {
+        text.append(name).append(":").append(std::to_string(value)).append("\r\n");
+    }
+    return text;
+}
+
+}  // namespace arrowstile
--- /dev/null
+++ b/src/net/core/targets.cpp
@@ -0,0 +1,56 @@
+#include "targets.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace arrowstile {
+namespace {
+
+template <class Place>
+Place placeOf(const std::vector<std::string> &names, const std::string &name) {
+    const auto found = std::find(names.begin(), names.end(), name);
+    return Place{static_cast<decltype(Place{}.value)>(found == names.end() ? 0 : found - names.begin())};
+}
+
+WorkerState stateOf(const std::string &word) {
+    if (word == "Ready") return WorkerState::ready;
+    return word == "Gone" ? WorkerState::gone : WorkerState::draining;
+}
+
+}  // namespace
+
+WorkerId TargetReader::idOf(const std::string &name) {
+    if (const auto known = ids_.find(name); known != ids_.end()) return known->second;
+    std::uint32_t hash = 2166136261u;  // FNV-1a
+    for (const char byte : name) hash = (hash ^ static_cast<unsigned char>(byte)) * 16777619u;
+    while (names_.contains(WorkerId{hash})) ++hash;
+    names_[WorkerId{hash}] = name;
+    return ids_[name] = WorkerId{hash};
+}
+
+TargetNews TargetReader::read(std::string_view text) {
+    using nlohmann::json;
+    TargetNews news;
+    try {
+        const json all = json::parse(text);
+        news.version = all.at("index").get<std::uint64_t>();
+        news.whole = all.value("snapshot", false);
+        for (const json &one : all.at("endpoints")) {
+            Target target;
+            target.entry.worker = idOf(one.at("name").get<std::string>());
+            target.address = one.value("address", "");
+            target.entry.zone = placeOf<ZoneId>(site_.zones, one.value("zone", ""));
+            target.entry.kind = placeOf<KindId>(site_.kinds, one.value("type", ""));
+            target.entry.cell.value = static_cast<std::uint16_t>(one.value("group", 0u));
+            target.entry.state = stateOf(one.value("status", ""));
+            target.entry.size = one.value("weight", 1.0);
+            target.entry.startedAt = std::chrono::milliseconds(one.value("since_ms", std::int64_t{0}));
+            news.targets.push_back(std::move(target));
+        }
+    } catch (const json::exception &error) {
+        throw FactsError(std::string("list of workers: ") + error.what());
+    }
+    return news;
+}
+
+}  // namespace arrowstile
--- /dev/null
+++ b/src/net/core/worker_reply.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <arrowstile/events.hpp>
+#include <facts_json.hpp>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "resp.hpp"
+
+namespace arrowstile {
+
+/// What a worker's reply to a command means.
+struct WorkerReply {
+    Outcome outcome = Outcome::errored;
+    std::string_view value;
+    std::optional<double> meteredShare, trueUnits;
+    std::vector<double> load;
+    bool misspelt = false;  ///< the worker could not read what it was sent
+};
+
+WorkerReply readWorkerReply(const resp::Reply &reply, const Site &site);
+
+/// A load report in the order of the site's columns, empty if the text is none.
+std::vector<double> readLoad(std::string_view text, const Site &site);
+
+}  // namespace arrowstile
--- /dev/null
+++ b/src/net/counter.cpp
@@ -0,0 +1,147 @@
+#include "counter.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+
+namespace arrowstile {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t mostLinks = 31, longestTotal = 256;
+constexpr Span sweepEvery = milliseconds(500), idleMost = milliseconds(4000);
+
+Outcome outcomeOf(const HttpAnswer &answer, double &total) {
+    if (answer.status == 503) return Outcome::full;
+    if (answer.status != 200) return Outcome::connectFailed;  // no such call: nothing was added
+    const char *end = answer.body.data() + answer.body.size();
+    const auto [at, error] = std::from_chars(answer.body.data(), end, total);
+    return error == std::errc{} ? Outcome::answered : Outcome::reset;
+}
+
+}  // namespace
+
+struct Counter::Link final : Stream::Holder {
+    explicit Link(Counter &counter)
+        : all(counter), answers(longestTotal, [this](HttpAnswer answer) { hear(answer); }) {}
+
+    ~Link() {
+        all.around_.alarms.clear(gives);
+        all.unflushed_.erase(this);
+    }
+
+    void onOpen() override {
+        open = true;
+        all.unflushed_.insert(this);
+    }
+
+    std::size_t onBytes(std::string_view bytes) override {
+        const bool sound = answers.take(bytes) && !closes;
+        if (!sound) all.drop(*this, true);
+        return sound ? bytes.size() : 0;
+    }
+
+    void onClosed() override { all.drop(*this, false); }
+
+    void hear(const HttpAnswer &answer) {
+        closes = closes || !answer.keepsOpen || !busy;
+        if (!std::exchange(busy, false)) return;
+        idleSince = all.around_.clock.now();
+        all.around_.alarms.clear(gives);
+        double total = 0;
+        const Outcome outcome = outcomeOf(answer, total);
+        if (!std::exchange(late, false)) all.ended(name, sentAt, outcome, total);
+    }
+
+    Counter &all;
+    HttpAnswers answers;
+    Stream::Ptr stream;
+    CountName name;
+    Span sentAt{}, idleSince{};
+    Alarms::Key gives{};
+    std::uint64_t written = 0;
+    bool open = false, busy = false, late = false, closes = false;
+};
+
+Counter::Counter(Surroundings &around) : around_(around) {
+    around_.alarms.set(around_.clock.now() + sweepEvery, [this] { sweep(); });
+}
+
+Counter::~Counter() { links_.clear(); }
+
+void Counter::add(const AddCount &action) {
+    const Span now = around_.clock.now();
+    auto free = std::find_if(links_.rbegin(), links_.rend(), [](const auto &one) { return one->open && !one->busy; });
+    Link *link = nullptr;
+    if (free != links_.rend()) {
+        std::rotate(free.base() - 1, free.base(), links_.end());
+        link = links_.back().get();
+    } else {
+        if (links_.size() >= mostLinks) {
+            const auto oldest = std::ranges::min_element(
+                links_, {}, [](const auto &one) { return std::pair(!one->late, one->sentAt); });
+            drop(**oldest, false);
+        }
+        link = connect();
+    }
+    ++around_.tally.countsSent;
+    if (link == nullptr) return ended(action.name, now, Outcome::connectFailed, 0);
+    char target[128];
+    const int size = std::snprintf(target, sizeof target, "/v2/numbers/%016llx?delta=%.9g&life_ms=%lld",
+                                   static_cast<unsigned long long>(action.name.value), action.amount,
+                                   static_cast<long long>(std::max<std::int64_t>(1, action.keep.count() / 1000)));
+    const Address &at = *around_.start.counter;
+    const std::string text = httpRequest("POST", std::string_view(target, static_cast<std::size_t>(size)),
+                                         at.host + ":" + std::to_string(at.port));
+    link->stream->write(text);
+    link->written += text.size();
+    link->name = action.name;
+    link->sentAt = now;
+    link->busy = true;
+    link->gives = around_.alarms.set(now + around_.start.site.facts.countTimeout, [this, link] {
+        const bool seen = link->open && link->stream->sent() >= link->written;
+        if (!seen) return drop(*link, false);
+        link->late = true;
+        ended(link->name, link->sentAt, Outcome::timedOut, 0);
+    });
+    if (link->open) unflushed_.insert(link);
+}
+
+Counter::Link *Counter::connect() {
+    if (!around_.start.counter) return nullptr;
+    auto made = std::make_unique<Link>(*this);
+    made->stream = Stream::connect(around_.loop, *around_.start.counter, made.get());
+    if (!made->stream) return nullptr;
+    ++around_.tally.counterConnections;
+    links_.push_back(std::move(made));
+    return links_.back().get();
+}
+
+/// The one place where a connection is given back. A call on it whose last byte was never written added nothing;
+/// one that was written may have been added.
+void Counter::drop(Link &link, bool answered) {
+    const auto at = std::ranges::find_if(links_, [&](const auto &one) { return one.get() == &link; });
+    const auto kept = std::move(*at);
+    links_.erase(at);
+    if (!kept->busy || kept->late) return;
+    const bool seen = answered || (kept->open && kept->stream->sent() >= kept->written);
+    ended(kept->name, kept->sentAt, seen ? Outcome::reset : Outcome::connectFailed, 0);
+}
+
+void Counter::ended(CountName name, Span sentAt, Outcome outcome, double total) {
+    ++(outcome == Outcome::answered ? around_.tally.countsAnswered : around_.tally.countsLost);
+    around_.happened.emplace_back(CountAnswered{name, outcome, total, around_.clock.now() - sentAt});
+}
+
+void Counter::flush() {
+    for (Link *link : std::exchange(unflushed_, {})) link->stream->flush();
+}
+
+void Counter::sweep() {
+    const Span now = around_.clock.now();
+    around_.alarms.set(now + sweepEvery, [this] { sweep(); });
+    std::erase_if(links_, [&](const auto &one) { return one->open && !one->busy && now - one->idleSince > idleMost; });
+}
+
+}  // namespace arrowstile
--- /dev/null
+++ b/src/net/discovery.cpp
@@ -0,0 +1,93 @@
+#include "discovery.hpp"
+
+namespace arrowstile {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t longestList = 16 * 1024 * 1024;
+constexpr Span wait = milliseconds(10000), beyondWait = milliseconds(1500), callMost = milliseconds(2000);
+constexpr Span againAfter = milliseconds(100);  // a later call would begin a new watch
+
+}  // namespace
+
+Discovery::Discovery(Surroundings &around, Heard heard)
+    : around_(around), heard_(std::move(heard)), reader_(around.start.site) {}
+
+void Discovery::known(std::string_view list) {
+    const TargetNews news = reader_.read(list);
+    version_ = news.version;
+    hasList_ = true;
+    heard_(news, ListNews::cached);
+}
+
+void Discovery::follow(bool on) {
+    following_ = on;
+    call();
+}
+
+void Discovery::fetch() {
+    wholeWanted_ = true;
+    call();
+}
+
+void Discovery::call() {
+    if (out_ || (!following_ && !wholeWanted_)) return;
+    if (!stream_) {
+        broken_ = open_ = false;
+        answers_ = std::make_unique<HttpAnswers>(longestList, [this](const HttpAnswer &answer) { hear(answer); });
+        stream_ = Stream::connect(around_.loop, around_.start.discovery, this);
+        if (!stream_) return again();
+    }
+    out_ = true;
+    const Address &at = around_.start.discovery;
+    std::string target = "/api/targets";
+    const bool watch = hasList_ && !wholeWanted_;
+    if (watch) {
+        target += "?since=" + std::to_string(version_) + "&timeout_ms=" + std::to_string(wait.count() / 1000);
+        ++around_.tally.watches;
+    }
+    stream_->write(httpRequest("GET", target, at.host + ":" + std::to_string(at.port)));
+    if (open_) stream_->flush();
+    alarm_ = around_.alarms.set(around_.clock.now() + (watch ? wait + beyondWait : callMost), [this] { again(); });
+}
+
+void Discovery::onOpen() {
+    open_ = true;
+    stream_->flush();
+}
+
+std::size_t Discovery::onBytes(std::string_view bytes) {
+    if (!answers_->take(bytes) || broken_) again();
+    return bytes.size();
+}
+
+void Discovery::hear(const HttpAnswer &answer) {
+    around_.alarms.clear(alarm_);
+    out_ = false;
+    broken_ = broken_ || !answer.keepsOpen || answer.status != 200;
+    if (answer.status != 200) return;
+    try {
+        const TargetNews news = reader_.read(answer.body);
+        version_ = news.version;
+        hasList_ = true;
+        if (news.whole) wholeWanted_ = false;
+        ++around_.tally.lists;
+        if (!broken_) call();  // the next watch first: what is told between two counts as told
+        heard_(news, news.whole ? ListNews::full : ListNews::changes);
+    } catch (const FactsError &error) {
+        around_.log.warning(error.what());
+        broken_ = true;
+    }
+}
+
+/// The one place where the connection is given back: it broke, or kept silent past any wait.
+void Discovery::again() {
+    around_.alarms.clear(alarm_);
+    const bool told = std::exchange(out_, false);
+    stream_.reset();
+    if (told && around_.start.site.facts.listWay == ListWay::asked) heard_({}, ListNews::failed);
+    alarm_ = around_.alarms.set(around_.clock.now() + againAfter, [this] { call(); });
+}
+
+}  // namespace arrowstile
--- /dev/null
+++ b/src/net/discovery.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <functional>
+
+#include "core/http.hpp"
+#include "core/targets.hpp"
+#include "stream.hpp"
+#include "surroundings.hpp"
+
+namespace arrowstile {
+
+/// The side that faces discovery: a watch that never ends, and whole lists when they are asked for.
+class Discovery final : Stream::Holder {
+public:
+    using Heard = std::function<void(TargetNews, ListNews how)>;
+
+    Discovery(Surroundings &around, Heard heard);
+
+    /// Takes up the list from before the start, so that the watch tells what has changed since.
+    void known(std::string_view list);
+    void follow(bool on);
+    void fetch();
+
+private:
+    std::size_t onBytes(std::string_view bytes) override;
+    void onOpen() override;
+    void onClosed() override { again(); }
+
+    void hear(const HttpAnswer &answer);
+    void call();
+    void again();
+
+    Surroundings &around_;
+    Heard heard_;
+    TargetReader reader_;
+    std::unique_ptr<HttpAnswers> answers_;
+    Stream::Ptr stream_;
+    Alarms::Key alarm_{};
+    std::uint64_t version_ = 0;
+    bool hasList_ = false, following_ = false, wholeWanted_ = false, open_ = false, out_ = false, broken_ = false;
+};
+
+}  // namespace arrowstile
--- /dev/null
+++ b/src/net/gateway.cpp
@@ -0,0 +1,161 @@
+#include "gateway.hpp"
+
+#include <algorithm>
+#include <csignal>
+
+namespace arrowstile {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Descriptors beside connections: loop, signals, listener, discovery, peers, standard streams, some to spare.
+constexpr std::size_t spareSockets = 48, counterSockets = 32;
+// A start is ready with discovery's first answer; with a list from before, no later than this.
+constexpr Span readyMost = milliseconds(1000);
+constexpr int mostRounds = 8;
+
+std::size_t forConnections(const StartDocument &start) {
+    const std::size_t kept = spareSockets + counterSockets;
+    return start.sockets > 2 * kept ? start.sockets - kept : kept;
+}
+
+}  // namespace
+
+Gateway::Gateway(uv_loop_t *loop, const StartDocument &start, Log &log)
+    : around_{loop, start, log, {}, {}, {}, {}},
+      keeper_(start.site.facts, start.seed),
+      clients_(around_, book_, forConnections(start) / 2),
+      workers_(
+          around_, forConnections(start) / 2,
+          [this](CallId call, std::string_view value) { return answered(call, value); },
+          [this](CallId call) { return book_.find(call) == nullptr; }),
+      counter_(around_),
+      discovery_(around_,
+                 [this](const TargetNews &news, ListNews how) {
+                     workers_.list(news);
+                     WorkerListed listed{how, news.version, {}};
+                     for (const Target &target : news.targets) listed.workers.push_back(target.entry);
+                     around_.happened.emplace_back(std::move(listed));
+                     if (how == ListNews::full || how == ListNews::changes) clients_.ready();
+                 }),
+      peers_(around_),
+      before_(new uv_prepare_t),
+      after_(new uv_check_t),
+      timer_(new uv_timer_t),
+      terminated_(new uv_signal_t),
+      interrupted_(new uv_signal_t),
+      asked_(new uv_signal_t) {
+    uv_prepare_init(loop, before_.get());
+    uv_check_init(loop, after_.get());
+    uv_timer_init(loop, timer_.get());
+    before_->data = after_->data = timer_->data = this;
+    for (auto *signal : {terminated_.get(), interrupted_.get(), asked_.get()}) {
+        uv_signal_init(loop, signal);
+        signal->data = this;
+    }
+}
+
+Gateway::~Gateway() = default;
+
+void Gateway::run() {
+    const StartDocument &start = around_.start;
+    const auto stopping = [](uv_signal_t *signal, int) { static_cast<Gateway *>(signal->data)->stop(); };
+    uv_signal_start(terminated_.get(), stopping, SIGTERM);
+    uv_signal_start(interrupted_.get(), stopping, SIGINT);
+    uv_signal_start(
+        asked_.get(),
+        [](uv_signal_t *signal, int) {
+            const Surroundings &around = static_cast<Gateway *>(signal->data)->around_;
+            around.log.info("counters\n", around.tally.text());
+        },
+        SIGUSR1);
+    clients_.listen(start.listen);
+    peers_.listen();
+    if (!start.known.empty()) {
+        discovery_.known(start.known);
+        around_.alarms.set(around_.clock.now() + readyMost, [this] { clients_.ready(); });
+    }
+    discovery_.follow(true);
+    uv_prepare_start(before_.get(), [](uv_prepare_t *handle) {
+        static_cast<Gateway *>(handle->data)->turn();
+        static_cast<Gateway *>(handle->data)->wake();
+    });
+    uv_check_start(after_.get(), [](uv_check_t *handle) { static_cast<Gateway *>(handle->data)->turn(); });
+    around_.log.info("serving on ", start.listen.host, ":", start.listen.port);
+    uv_run(around_.loop, UV_RUN_DEFAULT);
+    around_.log.info("counters\n", around_.tally.text());
+}
+
+void Gateway::stop() {
+    around_.log.info("stopping");
+    clients_.leave();
+}
+
+void Gateway::turn() {
+    around_.alarms.run(around_.clock.now());
+    for (int round = 0; round < mostRounds && !around_.happened.empty(); ++round) handOver();
+    workers_.flush();
+    counter_.flush();
+    clients_.flush();
+    if (clients_.gone()) uv_stop(around_.loop);
+}
+
+/// The list goes first: what was told before a send counts, whatever was read before it.
+void Gateway::handOver() {
+    events_.clear();
+    events_.swap(around_.happened);
+    std::ranges::stable_partition(events_,
+                                  [](const Event &event) { return std::holds_alternative<WorkerListed>(event); });
+    const Span now = around_.clock.now();
+    actions_.clear();
+    for (const Event &event : events_) std::ranges::move(keeper_.handle(now, event), std::back_inserter(actions_));
+    for (const Action &action : actions_) {
+        std::visit([this](const auto &what) { carry(what); }, action);
+    }
+}
+
+/// Lets the loop sleep no longer than until the next alarm, and not at all with something left to hand over.
+void Gateway::wake() {
+    const auto next = around_.happened.empty() ? around_.alarms.next() : std::optional(Span{});
+    if (!next) return;
+    const std::int64_t left = (*next - around_.clock.now()).count();
+    uv_update_time(around_.loop);
+    uv_timer_start(
+        timer_.get(), [](uv_timer_t *) {}, left > 0 ? static_cast<std::uint64_t>((left + 999) / 1000) : 0, 0);
+}
+
+bool Gateway::answered(CallId call, std::string_view value) {
+    const auto ended = book_.end(call);
+    if (!ended) return true;
+    ++around_.tally.proxied;
+    clients_.answer(*ended, proxiedAnswer(value));
+    return true;
+}
+
+void Gateway::carry(const SendTry &action) {
+    InHand *held = book_.find(action.call);
+    const TryNumber number{static_cast<std::uint8_t>(held != nullptr ? held->tries++ : 0)};
+    if (held == nullptr) return workers_.notSent(action, number);
+    workers_.send(action, number, held->call);
+}
+
+void Gateway::carry(const RateLimit &action) {
+    const auto ended = book_.end(action.call);
+    if (!ended) return;
+    ++around_.tally.rateLimited;
+    clients_.answer(*ended, rateLimitAnswer(action.retryAfter));
+}
+
+void Gateway::carry(const GiveError &action) {
+    const auto ended = book_.end(action.call);
+    if (!ended) return;
+    ++around_.tally.errored;
+    clients_.answer(*ended, erroredAnswer());
+}
+
+void Gateway::carry(const SetTimer &action) {
+    around_.alarms.set(action.due,
+                       [this, token = action.token] { around_.happened.emplace_back(TimerFired{token}); });
+}
+
+}  // namespace arrowstile
--- /dev/null
+++ b/src/net/gateway.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <arrowstile/gatekeeper.hpp>
+#include <memory>
+
+#include "clients.hpp"
+#include "core/call_book.hpp"
+#include "counter.hpp"
+#include "discovery.hpp"
+#include "peers.hpp"
+#include "surroundings.hpp"
+#include "workers.hpp"
+
+namespace arrowstile {
+
+/// One gatekeeper on sockets: gathers what is ready, hands it to the decisions in one go and carries out what
+/// comes back.
+class Gateway {
+public:
+    Gateway(uv_loop_t *loop, const StartDocument &start, Log &log);
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+    ~Gateway();
+
+    /// Serves until a planned stop is through.
+    void run();
+
+private:
+    struct Closing {
+        template <class Handle>
+        void operator()(Handle *handle) const {
+            uv_close(reinterpret_cast<uv_handle_t *>(handle),
+                     [](uv_handle_t *closed) { delete reinterpret_cast<Handle *>(closed); });
+        }
+    };
+
+    void turn();
+    void handOver();
+    void wake();
+    void stop();
+    bool answered(CallId call, std::string_view value);
+
+    void carry(const SendTry &action);
+    void carry(const RateLimit &action);
+    void carry(const GiveError &action);
+    void carry(const CallOffTry &action) { workers_.callOff(action.call, action.attempt); }
+    void carry(const SetTimer &action);
+    void carry(const ProbeWorker &action) { workers_.probe(action.worker); }
+    void carry(const CloseIdle &action) { workers_.closeIdle(action.worker); }
+    void carry(const TellPeers &action) { peers_.tell(action); }
+    void carry(const AddCount &action) { counter_.add(action); }
+    void carry(const FollowList &action) { discovery_.follow(action.on); }
+    void carry(const FetchList &) { discovery_.fetch(); }
+    void carry(const Note &action) { around_.log.info(action.text); }
+
+    Surroundings around_;
+    Gatekeeper keeper_;
+    CallBook book_;
+    Clients clients_;
+    Workers workers_;
+    Counter counter_;
+    Discovery discovery_;
+    Peers peers_;
+    std::vector<Event> events_;
+    std::vector<Action> actions_;
+    std::unique_ptr<uv_prepare_t, Closing> before_;
+    std::unique_ptr<uv_check_t, Closing> after_;
+    std::unique_ptr<uv_timer_t, Closing> timer_;
+    std::unique_ptr<uv_signal_t, Closing> terminated_, interrupted_, asked_;
+};
+
+}  // namespace arrowstile
--- /dev/null
+++ b/src/net/surroundings.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <uv.h>
+
+#include <arrowstile/actions.hpp>
+#include <arrowstile/events.hpp>
+#include <vector>
+
+#include "clock.hpp"
+#include "core/start_document.hpp"
+#include "core/tally.hpp"
+#include "log.hpp"
+
+namespace arrowstile {
+
+/// What every adapter works with; the gateway owns it and outlives them.
+struct Surroundings {
+    uv_loop_t *loop;
+    const StartDocument &start;
+    Log &log;
+    Clock clock;
+    Alarms alarms;
+    Tally tally;
+    std::vector<Event> happened;  ///< since the decisions were last asked
+};
+
+}  // namespace arrowstile
--- /dev/null
+++ b/src/net/workers.cpp
@@ -0,0 +1,294 @@
+#include "workers.hpp"
+
+#include <algorithm>
+#include <deque>
+
+namespace arrowstile {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Span sweepEvery = milliseconds(500);
+// A worker's machine may close an idle connection sooner than the settings say, and what crosses that close may
+// have run: ours are given back well before, in this part of the time.
+constexpr int idlePart = 2;
+
+}  // namespace
+
+/// A try or a probe that is out.
+struct Workers::Out {
+    WorkerId worker;
+    CallId call;
+    TryNumber number;
+    bool probe = false;
+    Span sentAt{}, patience{};
+    std::uint64_t lastByte = 0;  // of what its connection has sent
+    Alarms::Key alarm{};
+};
+
+struct Workers::Pool {
+    Address address;
+    Span startedAt{};
+    bool ready = false, reachable = false;
+    std::vector<std::unique_ptr<Link>> links;  // the one used last stands last
+};
+
+struct Workers::Link final : Stream::Holder {
+    Link(Workers &workers, WorkerId of) : all(workers), worker(of) {}
+
+    ~Link() {
+        all.around_.alarms.clear(comesUp);
+        for (const Out &one : out) all.around_.alarms.clear(one.alarm);
+        all.unflushed_.erase(this);
+        --all.links_;
+    }
+
+    void onOpen() override;
+
+    std::size_t onBytes(std::string_view bytes) override;
+
+    void onClosed() override { all.drop(*this, Outcome::reset); }
+
+    Workers &all;
+    const WorkerId worker;
+    Stream::Ptr stream;
+    std::deque<Out> out;
+    std::uint64_t written = 0;
+    Span idleSince{};
+    Alarms::Key comesUp{};
+    bool open = false;
+};
+
+Workers::Workers(Surroundings &around, std::size_t most, Answered answered, IsOver isOver)
+    : around_(around), most_(most), answered_(std::move(answered)), isOver_(std::move(isOver)) {
+    around_.alarms.set(around_.clock.now() + sweepEvery, [this] { sweep(); });
+}
+
+Workers::~Workers() { pools_.clear(); }
+
+void Workers::list(const TargetNews &news) {
+    if (news.whole) {
+        for (auto &[id, pool] : pools_) pool.ready = false;
+    }
+    for (const Target &target : news.targets) {
+        Pool &pool = pools_[target.entry.worker];
+        Address address = pool.address;
+        if (!target.address.empty()) {
+            try {
+                address = readAddress(target.address, "address of a worker");
+                socketAddress(address);
+                pool.reachable = true;
+            } catch (const FactsError &error) {
+                around_.log.warning(error.what());
+                pool.reachable = false;
+            }
+        }
+        // Another process or place: what is idle there leads nowhere.
+        const bool another = pool.startedAt != target.entry.startedAt || pool.address != address;
+        pool.address = address;
+        pool.startedAt = target.entry.startedAt;
+        pool.ready = target.entry.state == WorkerState::ready;
+        if (another) closeIdle(target.entry.worker);
+    }
+    for (auto &[id, pool] : pools_) {
+        if (!pool.ready) closeIdle(id);
+    }
+}
+
+void Workers::notSent(const SendTry &action, TryNumber number) {
+    ended({action.worker, action.call, number, false, around_.clock.now()}, Outcome::notSent, nullptr);
+}
+
+void Workers::send(const SendTry &action, TryNumber number, const ApiCall &call) {
+    const auto found = pools_.find(action.worker);
+    if (found == pools_.end()) return notSent(action, number);
+    const Span now = around_.clock.now();
+    Out out{action.worker, action.call, number, false, now, action.notPast - now};
+    if (out.patience <= Span{}) return ended(out, Outcome::timedOut, nullptr);
+    std::string command;
+    call.addCommand(command, out.patience);
+    put(found->second, action.worker, out, std::move(command));
+}
+
+void Workers::probe(WorkerId worker) {
+    const auto found = pools_.find(worker);
+    const Span now = around_.clock.now();
+    Out out{worker, {}, {}, true, now, around_.start.site.facts.connectTimeout};
+    if (found == pools_.end()) return ended(out, Outcome::connectFailed, nullptr);
+    std::string command;
+    const bool wantsLoad = around_.start.site.facts.reportWay == ReportWay::probes;
+    resp::addArrayHead(command, wantsLoad ? 2 : 1);
+    resp::addBulk(command, wantsLoad ? "INFO" : "PING");
+    if (wantsLoad) resp::addBulk(command, "load");
+    put(found->second, worker, out, std::move(command));
+}
+
+/// A connection to itself for each try: one given up ends its connection, and answers that share one wait for
+/// each other. Only at the limit on sockets do tries share, up to what the settings allow.
+void Workers::put(Pool &pool, WorkerId worker, Out out, std::string command) {
+    Link *link = nullptr;
+    const auto idle = std::find_if(pool.links.rbegin(), pool.links.rend(),
+                                   [](const auto &one) { return one->open && one->out.empty(); });
+    if (idle != pool.links.rend()) {
+        std::rotate(idle.base() - 1, idle.base(), pool.links.end());
+        link = pool.links.back().get();
+    } else if (links_ < most_) {
+        link = pool.reachable ? connect(pool, worker) : nullptr;
+        if (link == nullptr) return ended(out, Outcome::connectFailed, nullptr);
+    } else {
+        const auto least = std::ranges::min_element(
+            pool.links, {}, [](const auto &one) { return std::pair(!one->open, one->out.size()); });
+        if (least == pool.links.end() || (*least)->out.size() >= around_.start.site.triesPerConnection) {
+            return ended(out, Outcome::notSent, nullptr);
+        }
+        link = least->get();
+    }
+    ++around_.tally.triesSent;
+    link->stream->write(command);
+    link->written += command.size();
+    out.lastByte = link->written;
+    out.alarm = around_.alarms.set(out.sentAt + out.patience, [this, link, call = out.call, number = out.number] {
+        const auto late = std::ranges::find_if(
+            link->out, [&](const Out &one) { return one.call == call && one.number == number; });
+        const Out given = *late;
+        link->out.erase(late);
+        drop(*link, Outcome::reset);
+        ended(given, Outcome::timedOut, nullptr);
+    });
+    link->out.push_back(out);
+    if (link->open) unflushed_.insert(link);
+}
+
+Workers::Link *Workers::connect(Pool &pool, WorkerId worker) {
+    auto made = std::make_unique<Link>(*this, worker);
+    Link *link = made.get();
+    ++links_;
+    link->stream = Stream::connect(around_.loop, pool.address, link);
+    if (!link->stream) return nullptr;
+    ++around_.tally.workerConnections;
+    link->comesUp = around_.alarms.set(around_.clock.now() + around_.start.site.facts.connectTimeout,
+                                       [this, link] { drop(*link, Outcome::connectFailed); });
+    pool.links.push_back(std::move(made));
+    return link;
+}
+
+/// The one place where a connection is given back. What is out on it ends with it: unseen by the worker where
+/// its last byte was never written.
+void Workers::drop(Link &link, Outcome rest) {
+    auto &links = pools_.at(link.worker).links;
+    const auto at = std::ranges::find_if(links, [&](const auto &one) { return one.get() == &link; });
+    const auto kept = std::move(*at);
+    links.erase(at);
+    for (const Out &out : kept->out) {
+        const bool seen = kept->open && kept->stream->sent() >= out.lastByte;
+        ended(out, seen ? rest : Outcome::connectFailed, nullptr);
+    }
+}
+
+void Workers::Link::onOpen() {
+    all.around_.alarms.clear(comesUp);
+    open = true;
+    // Meanwhile the list may have turned: nothing new goes to a worker that drains or is gone.
+    if (!all.pools_.at(worker).ready) return all.drop(*this, Outcome::connectFailed);
+    all.unflushed_.insert(this);
+}
+
+std::size_t Workers::Link::onBytes(std::string_view bytes) {
+    std::size_t used = 0;
+    resp::Reply reply;
+    while (used < bytes.size()) {
+        const auto parsed = resp::parseReply(bytes.substr(used), reply);
+        if (parsed == resp::Parsed::more) break;
+        if (parsed == resp::Parsed::broken || out.empty()) {
+            all.drop(*this, Outcome::reset);
+            return 0;
+        }
+        used += reply.used;
+        const Out one = out.front();
+        out.pop_front();
+        all.around_.alarms.clear(one.alarm);
+        WorkerReply read = readWorkerReply(reply, all.around_.start.site);
+        if (one.probe) {
+            const bool load = reply.kind == resp::Reply::Kind::bulk;
+            if (load) read.load = readLoad(reply.text, all.around_.start.site);
+            if (load || reply.kind == resp::Reply::Kind::status) read.outcome = Outcome::answered;
+        }
+        if (read.misspelt) all.around_.log.error("a worker could not read a command: ", reply.text);
+        all.ended(one, read.outcome, &read);
+    }
+    if (out.empty()) {
+        idleSince = all.around_.clock.now();
+        if (!all.pools_.at(worker).ready) {
+            all.drop(*this, Outcome::reset);
+            return 0;
+        }
+    }
+    return used;
+}
+
+void Workers::ended(const Out &out, Outcome outcome, const WorkerReply *reply) {
+    Tally &tally = around_.tally;
+    switch (outcome) {
+        case Outcome::answered: ++tally.triesAnswered; break;
+        case Outcome::errored: ++tally.triesErrored; break;
+        case Outcome::full: ++tally.triesFull; break;
+        case Outcome::timedOut: ++tally.triesTimedOut; break;
+        case Outcome::connectFailed: ++tally.triesUnconnected; break;
+        case Outcome::reset: ++tally.triesReset; break;
+        case Outcome::calledOff: ++tally.triesCalledOff; break;
+        case Outcome::notSent: ++tally.triesNotSent; break;
+    }
+    const Span took = around_.clock.now() - out.sentAt;
+    const std::vector<double> load = reply != nullptr ? reply->load : std::vector<double>{};
+    if (out.probe) {
+        around_.happened.emplace_back(ProbeEnded{out.worker, outcome, took, load});
+        return;
+    }
+    TryEnded event{out.call, out.number, out.worker, outcome, took, false, {}, {}, load};
+    if (outcome == Outcome::answered) {
+        event.meteredShare = reply->meteredShare;
+        event.trueUnits = reply->trueUnits;
+        event.callClosed = answered_(out.call, reply->value);
+    } else {
+        event.callClosed = isOver_(out.call);
+    }
+    around_.happened.emplace_back(std::move(event));
+}
+
+void Workers::callOff(CallId call, TryNumber number) {
+    for (auto &[id, pool] : pools_) {
+        for (const auto &link : pool.links) {
+            const auto found = std::ranges::find_if(
+                link->out, [&](const Out &one) { return !one.probe && one.call == call && one.number == number; });
+            if (found == link->out.end()) continue;
+            const Out given = *found;
+            around_.alarms.clear(given.alarm);
+            link->out.erase(found);
+            drop(*link, Outcome::reset);
+            return ended(given, Outcome::calledOff, nullptr);
+        }
+    }
+}
+
+void Workers::closeIdle(WorkerId worker) {
+    const auto found = pools_.find(worker);
+    if (found == pools_.end()) return;
+    std::erase_if(found->second.links, [](const auto &one) { return one->open && one->out.empty(); });
+}
+
+void Workers::flush() {
+    for (Link *link : std::exchange(unflushed_, {})) link->stream->flush();
+}
+
+void Workers::sweep() {
+    const Span now = around_.clock.now(), most = around_.start.site.idleLimit / idlePart;
+    around_.alarms.set(now + sweepEvery, [this] { sweep(); });
+    if (most <= Span{}) return;
+    for (auto &[id, pool] : pools_) {
+        std::erase_if(pool.links, [&](const auto &one) {
+            return one->open && one->out.empty() && now - one->idleSince > most;
+        });
+    }
+}
+
+}  // namespace arrowstile
--- a/src/simhost/host.cpp
+++ b/src/simhost/host.cpp
@@ -26,7 +26,7 @@
     Reply reply;
     for (const auto &[instance, what] : batch.happenings) {
         if (const auto *started = std::get_if<Started>(&what)) {
-            gatekeepers_.insert_or_assign(instance, Gatekeeper(readFacts(started->settings), started->seed));
+            gatekeepers_.insert_or_assign(instance, Gatekeeper(readSite(started->settings).facts, started->seed));
         } else if (std::holds_alternative<Stopped>(what)) {
             gatekeepers_.erase(instance);
         } else if (const auto found = gatekeepers_.find(instance); found == gatekeepers_.end()) {
@@ -68,7 +68,7 @@
             out.write(reply.data(), static_cast<std::streamsize>(reply.size()));
             out.flush();
         }
-    } catch (const WireError &error) {
+    } catch (const std::runtime_error &error) {
         complaints << "arrowstile_simhost: frame " << frame << ": " << error.what() << std::endl;
         return 1;
     }
--- a/tests/test_wire.cpp
+++ b/tests/test_wire.cpp
@@ -149,7 +149,7 @@
 }
 
 TEST_CASE("settings become facts, and unknown keys are skipped") {
-    const SiteFacts facts = readFacts(settings);
+    const SiteFacts facts = readSite(settings).facts;
     CHECK(facts.gateways == 2);
     CHECK(facts.routes.at(0).effect == Effect::tokened);
     CHECK(facts.routes.at(0).repeatScope == RepeatScope::zone);
