--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t mostWaiting = 512, mostUnsent = 256 * 1024, leastUnsent = 64 * 1024;
 // A planned stop: new connections go on coming for a while; one closed before then would only come back.
 constexpr Span stillComing = milliseconds(500), noneCame = milliseconds(200), lookAgain = milliseconds(20);
+// A client that was told of the end and keeps its side open is not waited for any longer; and the whole stop ends
+// before the kill, which comes 0.7 s after the longest patience at the soonest.
+constexpr Span lastWord = milliseconds(300), leastPatience = milliseconds(3000), afterPatience = milliseconds(550);
 
 }  // namespace
 
@@ -49,6 +52,14 @@
         all.unflushed_.insert(id);
     }
 
+    /// Ends our sending: the client sees it between two answers, and what it wrote meanwhile it sends again.
+    void finish(Span now) {
+        if (std::exchange(finished, true)) return;
+        ending = true;
+        lastUsed = now;
+        stream->finish();
+    }
+
     bool idle() const { return queue.waiting() == 0 && stream->unsent() == 0 && !partial; }
 
     void holdBack() {
@@ -161,9 +172,7 @@
         link.stream->write(text);
         link.stream->flush();
         link.holdBack();
-        if (link.ending && link.queue.waiting() == 0 && !std::exchange(link.finished, true)) {
-            link.stream->finish();
-        }
+        if (link.queue.waiting() == 0 && (link.ending || (closing_ && link.idle()))) link.finish(around_.clock.now());
     }
 }
 
@@ -183,12 +192,19 @@
 
 void Clients::leaveOn() {
     const Span now = around_.clock.now();
+    closing_ = true;
     if (now - cameAt_ > noneCame) listener_.reset();
-    for (auto &[id, link] : links_) {
-        if (link->idle() && !std::exchange(link->finished, true)) {
-            link->ending = true;
-            link->stream->finish();
-        }
+    Span patience = leastPatience;
+    for (const Route &route : around_.start.site.facts.routes) patience = std::max(patience, route.clientTimeout);
+    std::erase_if(links_, [&](const auto &one) {
+        Link &link = *one.second;
+        if (link.finished) return link.queue.waiting() == 0 && now - link.lastUsed > lastWord;
+        if (link.idle()) link.finish(now);
+        return false;
+    });
+    if (now - leftAt_ > patience + afterPatience) {
+        listener_.reset();
+        links_.clear();
     }
     if (!gone()) around_.alarms.set(now + lookAgain, [this] { leaveOn(); });
 }
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -44,7 +44,7 @@
     std::map<ClientId, std::unique_ptr<Link>> links_;
     std::set<ClientId> unflushed_;
     std::uint64_t lastId_ = 0;
-    bool ready_ = false, leaving_ = false;
+    bool ready_ = false, leaving_ = false, closing_ = false;
     Span leftAt_{}, cameAt_{};
 };
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -6,7 +6,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t longestList = 16 * 1024 * 1024;
-constexpr Span wait = milliseconds(10000), beyondWait = milliseconds(1500), callMost = milliseconds(2000);
+constexpr Span wait = milliseconds(10000), firstWait = milliseconds(1), beyondWait = milliseconds(1500), callMost = milliseconds(2000);
 constexpr Span againAfter = milliseconds(100);  // a later call would begin a new watch
 
 }  // namespace
@@ -44,7 +44,7 @@
     std::string target = "/api/targets";
     const bool watch = hasList_ && !wholeWanted_;
     if (watch) {
-        target += "?since=" + std::to_string(version_) + "&timeout_ms=" + std::to_string(wait.count() / 1000);
+        target += "?since=" + std::to_string(version_) + "&timeout_ms=" + std::to_string((told_ ? wait : firstWait).count() / 1000);
         ++around_.tally.watches;
     }
     stream_->write(httpRequest("GET", target, at.host + ":" + std::to_string(at.port)));
@@ -70,7 +70,7 @@
     try {
         const TargetNews news = reader_.read(answer.body);
         version_ = news.version;
-        hasList_ = true;
+        hasList_ = told_ = true;
         if (news.whole) wholeWanted_ = false;
         ++around_.tally.lists;
         if (!broken_) call();  // the next watch first: what is told between two counts as told
