--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# The tasks of everyday work; README.md tells what they need.
+JOBS ?= 4
+
+.PHONY: build test lint run clean
+
+build:
+	cmake -B build -DCMAKE_BUILD_TYPE=Release
+	cmake --build build -j$(JOBS)
+
+test:
+	cmake -B build-test -DBUILD_TESTING=ON -DARROWSTILE_STRICT=ON -DARROWSTILE_SANITIZE=ON -DCMAKE_BUILD_TYPE=Debug
+	cmake --build build-test -j$(JOBS)
+	ctest --test-dir build-test --output-on-failure
+
+lint:
+	clang-format --dry-run --Werror $$(git ls-files '*.cpp' '*.hpp')
+
+# Against examples/toy_backend.py, which is started beside it and ended with it.
+run: build
+	python3 examples/toy_backend.py & toy=$$!; trap "kill $$toy" EXIT; EDGE_CONFIG=examples/start.json build/arrowstile
+
+clean:
+	rm -rf build build-test
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -8,27 +8,35 @@
 using std::chrono::milliseconds;
 
 constexpr int backlog = 1024;
-// Of a connection: commands that wait for an answer, and bytes that its reader leaves with us. Past them we stop
-// reading it, so that neither a flood nor a slow reader takes the memory of all.
+// Of a connection: commands that wait for an answer, and bytes that its reader leaves with us. Past them we
+// stop reading it, so that neither a flood nor a slow reader takes the memory of all.
 constexpr std::size_t mostWaiting = 512, mostUnsent = 256 * 1024, leastUnsent = 64 * 1024;
+// Beyond these a connection is closed: a command that never ends, answers that nobody fetches. Of all
+// connections together, the bodies kept and the answers left with us.
+constexpr std::size_t longestCommand = resp::longestValue + 8 * 1024, mostLeft = 2 * 1024 * 1024;
+constexpr std::size_t mostBodies = 32 * 1024 * 1024, mostLeftByAll = 32 * 1024 * 1024;
 // A planned stop: new connections go on coming for a while; one closed before then would only come back.
 constexpr Span stillComing = milliseconds(500), noneCame = milliseconds(200), lookAgain = milliseconds(20);
-// A client that was told of the end and keeps its side open is not waited for any longer; and the whole stop ends
-// before the kill, which comes 0.7 s after the longest patience at the soonest.
-constexpr Span lastWord = milliseconds(300), leastPatience = milliseconds(3000), afterPatience = milliseconds(550);
+// A client that was told of the end and keeps its side open is not waited for any longer; and the whole stop
+// ends before the kill, which comes 0.7 s after the longest patience at the soonest.
+constexpr Span lastWord = milliseconds(300), leastPatience = milliseconds(3000),
+               afterPatience = milliseconds(550);
 
 }  // namespace
 
 struct Clients::Link final : Stream::Holder {
     Link(Clients &clients, ClientId number, Span now) : all(clients), id(number), lastUsed(now) {}
 
+    ~Link() { all.left_ -= counted; }
+
     std::size_t onBytes(std::string_view bytes) override {
         std::size_t used = 0;
         resp::Command command;
         while (used < bytes.size() && !paused && !ending) {
             const auto parsed = resp::parseCommand(bytes.substr(used), command);
-            if (parsed == resp::Parsed::more) break;
-            if (parsed == resp::Parsed::broken) {
+            const bool endless = parsed == resp::Parsed::more && bytes.size() - used > longestCommand;
+            if (parsed == resp::Parsed::more && !endless) break;
+            if (parsed == resp::Parsed::broken || endless) {
                 ++all.around_.tally.badCommands;
                 say("-ERR Protocol error\r\n");
                 ending = true;
@@ -43,7 +51,16 @@
         return ending ? bytes.size() : used;
     }
 
-    void onDrained() override { holdBack(); }
+    void onDrained() override {
+        left();
+        holdBack();
+    }
+
+    /// Bytes that wait for this client to fetch them; keeps the sum over all up to date.
+    std::size_t left() {
+        all.left_ += stream->unsent() - counted;
+        return counted = stream->unsent();
+    }
 
     void onClosed() override { all.end(id); }
 
@@ -75,6 +92,7 @@
     Stream::Ptr stream;
     AnswerQueue queue;
     Span lastUsed;
+    std::size_t counted = 0;
     bool paused = false, partial = false, ending = false, finished = false;
 };
 
@@ -109,9 +127,8 @@
 /// At the most that the limit on sockets leaves us, the one that has been idle longest makes room.
 bool Clients::makeRoom() {
     if (links_.size() < most_) return true;
-    const auto oldest = std::ranges::min_element(links_, {}, [](const auto &one) {
-        return std::pair(!one.second->idle(), one.second->lastUsed);
-    });
+    const auto oldest = std::ranges::min_element(
+        links_, {}, [](const auto &one) { return std::pair(!one.second->idle(), one.second->lastUsed); });
     if (oldest == links_.end() || !oldest->second->idle()) return false;
     links_.erase(oldest);
     return true;
@@ -128,19 +145,27 @@
     if (room) links_.emplace(id, std::move(link));
 }
 
-bool Clients::obey(Link &link, const resp::Command &command) {
+void Clients::obey(Link &link, const resp::Command &command) {
     const std::string_view verb = command.words[0];
     if (isApiCall(verb)) {
         ApiCall call;
         const auto wrong = readApiCall(command, around_.start.site, call);
+        if (wrong.empty() && book_.bytes() + call.body.size() > mostBodies) {
+            ++around_.tally.rateLimited;
+            link.say(rateLimitAnswer(std::nullopt));
+            return;
+        }
         if (wrong.empty()) {
+            // It may have come at any time since the sockets were last read.
+            const Span now = around_.clock.now();
+            call.taken.left -= now - around_.readAt;
             const Place place = link.queue.open();
             const CallTaken taken = call.taken;
-            const CallId id = book_.add(std::move(call), link.id, place, around_.clock.now());
+            const CallId id = book_.add(std::move(call), link.id, place, now);
             around_.happened.emplace_back(taken);
             std::get<CallTaken>(around_.happened.back()).call = id;
             ++around_.tally.callsTaken;
-            return true;
+            return;
         }
         ++around_.tally.badCommands;
         link.say("-ERR " + std::string(wrong) + "\r\n");
@@ -152,7 +177,6 @@
         ++around_.tally.badCommands;
         link.say("-ERR unknown command\r\n");
     }
-    return false;
 }
 
 void Clients::answer(const InHand &ended, std::string text) {
@@ -172,7 +196,14 @@
         link.stream->write(text);
         link.stream->flush();
         link.holdBack();
-        if (link.queue.waiting() == 0 && (link.ending || (closing_ && link.idle()))) link.finish(around_.clock.now());
+        const std::size_t left = link.left();
+        if (left > mostLeft || (left_ > mostLeftByAll && left > leastUnsent)) {
+            around_.log.warning("a client that does not fetch its answers is let go");
+            end(id);
+            continue;
+        }
+        if (link.queue.waiting() == 0 && (link.ending || (closing_ && link.idle())))
+            link.finish(around_.clock.now());
     }
 }
 
@@ -195,7 +226,8 @@
     closing_ = true;
     if (now - cameAt_ > noneCame) listener_.reset();
     Span patience = leastPatience;
-    for (const Route &route : around_.start.site.facts.routes) patience = std::max(patience, route.clientTimeout);
+    for (const Route &route : around_.start.site.facts.routes)
+        patience = std::max(patience, route.clientTimeout);
     std::erase_if(links_, [&](const auto &one) {
         Link &link = *one.second;
         if (link.finished) return link.queue.waiting() == 0 && now - link.lastUsed > lastWord;
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -33,7 +33,7 @@
 
     void accept();
     bool makeRoom();
-    bool obey(Link &link, const resp::Command &command);
+    void obey(Link &link, const resp::Command &command);
     void end(ClientId id);
     void leaveOn();
 
@@ -41,6 +41,7 @@
     CallBook &book_;
     const std::size_t most_;
     std::unique_ptr<uv_tcp_t, CloseListener> listener_;
+    std::size_t left_ = 0;
     std::map<ClientId, std::unique_ptr<Link>> links_;
     std::set<ClientId> unflushed_;
     std::uint64_t lastId_ = 0;
--- a/src/net/core/api_call.hpp
+++ b/src/net/core/api_call.hpp
@@ -12,7 +12,8 @@
 /// A client's command as it is taken and as it is sent on: all but the client's patience passes unchanged.
 struct ApiCall {
     CallTaken taken;
-    std::string verb, customer, id, before, after, body;  ///< before and after: of the list, around the patience
+    std::string verb, customer, id, before, after,
+        body;  ///< before and after: of the list, around the patience
     bool hasBody = false;
 
     /// The command to a worker, telling it how long this gatekeeper will wait.
--- a/src/net/core/call_book.cpp
+++ b/src/net/core/call_book.cpp
@@ -27,6 +27,7 @@
 CallId CallBook::add(ApiCall call, ClientId client, Place place, Span now) {
     const CallId id{++last_};
     call.taken.call = id;
+    bytes_ += call.body.size();
     const Span until = now + call.taken.left;
     calls_.emplace(id, InHand{std::move(call), client, place, until, 0});
     byClient_[client].insert(id);
@@ -43,6 +44,7 @@
     if (found == calls_.end()) return std::nullopt;
     InHand ended = std::move(found->second);
     calls_.erase(found);
+    bytes_ -= ended.call.body.size();
     const auto client = byClient_.find(ended.client);
     client->second.erase(id);
     if (client->second.empty()) byClient_.erase(client);
@@ -53,8 +55,7 @@
     const auto found = byClient_.find(client);
     if (found == byClient_.end()) return {};
     const std::vector<CallId> gone(found->second.begin(), found->second.end());
-    for (const CallId id : gone) calls_.erase(id);
-    byClient_.erase(found);
+    for (const CallId id : gone) end(id);
     return gone;
 }
 
--- a/src/net/core/call_book.hpp
+++ b/src/net/core/call_book.hpp
@@ -47,11 +47,14 @@
     /// The client has gone: its calls end without an answer.
     std::vector<CallId> drop(ClientId client);
     std::size_t size() const { return calls_.size(); }
+    /// Of the bodies that are kept for a further try.
+    std::size_t bytes() const { return bytes_; }
 
 private:
     std::map<CallId, InHand> calls_;
     std::map<ClientId, std::set<CallId>> byClient_;
     std::uint64_t last_ = 0;
+    std::size_t bytes_ = 0;
 };
 
 /// Final answers that this gatekeeper words itself.
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -72,7 +72,8 @@
 
 void Counter::add(const AddCount &action) {
     const Span now = around_.clock.now();
-    auto free = std::find_if(links_.rbegin(), links_.rend(), [](const auto &one) { return one->open && !one->busy; });
+    auto free =
+        std::find_if(links_.rbegin(), links_.rend(), [](const auto &one) { return one->open && !one->busy; });
     Link *link = nullptr;
     if (free != links_.rend()) {
         std::rotate(free.base() - 1, free.base(), links_.end());
@@ -88,9 +89,10 @@
     ++around_.tally.countsSent;
     if (link == nullptr) return ended(action.name, now, Outcome::connectFailed, 0);
     char target[128];
-    const int size = std::snprintf(target, sizeof target, "/v2/numbers/%016llx?delta=%.9g&life_ms=%lld",
-                                   static_cast<unsigned long long>(action.name.value), action.amount,
-                                   static_cast<long long>(std::max<std::int64_t>(1, action.keep.count() / 1000)));
+    const int size =
+        std::snprintf(target, sizeof target, "/v2/numbers/%016llx?delta=%.9g&life_ms=%lld",
+                      static_cast<unsigned long long>(action.name.value), action.amount,
+                      static_cast<long long>(std::max<std::int64_t>(1, action.keep.count() / 1000)));
     const Address &at = *around_.start.counter;
     const std::string text = httpRequest("POST", std::string_view(target, static_cast<std::size_t>(size)),
                                          at.host + ":" + std::to_string(at.port));
@@ -118,8 +120,8 @@
     return links_.back().get();
 }
 
-/// The one place where a connection is given back. A call on it whose last byte was never written added nothing;
-/// one that was written may have been added.
+/// The one place where a connection is given back. A call on it whose last byte was never written added
+/// nothing; one that was written may have been added.
 void Counter::drop(Link &link, bool answered) {
     const auto at = std::ranges::find_if(links_, [&](const auto &one) { return one.get() == &link; });
     const auto kept = std::move(*at);
@@ -141,7 +143,8 @@
 void Counter::sweep() {
     const Span now = around_.clock.now();
     around_.alarms.set(now + sweepEvery, [this] { sweep(); });
-    std::erase_if(links_, [&](const auto &one) { return one->open && !one->busy && now - one->idleSince > idleMost; });
+    std::erase_if(
+        links_, [&](const auto &one) { return one->open && !one->busy && now - one->idleSince > idleMost; });
 }
 
 }  // namespace arrowstile
--- a/src/net/counter.hpp
+++ b/src/net/counter.hpp
@@ -10,8 +10,8 @@
 
 namespace arrowstile {
 
-/// The side that faces the counter. A call that gets no answer in time is reported so, and its connection takes
-/// no further one until the answer comes: it may be late, or never.
+/// The side that faces the counter. A call that gets no answer in time is reported so, and its connection
+/// takes no further one until the answer comes: it may be late, or never.
 class Counter {
 public:
     explicit Counter(Surroundings &around);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -6,7 +6,8 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t longestList = 16 * 1024 * 1024;
-constexpr Span wait = milliseconds(10000), firstWait = milliseconds(1), beyondWait = milliseconds(1500), callMost = milliseconds(2000);
+constexpr Span wait = milliseconds(10000), firstWait = milliseconds(1), beyondWait = milliseconds(1500),
+               callMost = milliseconds(2000);
 constexpr Span againAfter = milliseconds(100);  // a later call would begin a new watch
 
 }  // namespace
@@ -35,7 +36,8 @@
     if (out_ || (!following_ && !wholeWanted_)) return;
     if (!stream_) {
         broken_ = open_ = false;
-        answers_ = std::make_unique<HttpAnswers>(longestList, [this](const HttpAnswer &answer) { hear(answer); });
+        answers_ =
+            std::make_unique<HttpAnswers>(longestList, [this](const HttpAnswer &answer) { hear(answer); });
         stream_ = Stream::connect(around_.loop, around_.start.discovery, this);
         if (!stream_) return again();
     }
@@ -44,12 +46,14 @@
     std::string target = "/api/targets";
     const bool watch = hasList_ && !wholeWanted_;
     if (watch) {
-        target += "?since=" + std::to_string(version_) + "&timeout_ms=" + std::to_string((told_ ? wait : firstWait).count() / 1000);
+        target += "?since=" + std::to_string(version_) +
+                  "&timeout_ms=" + std::to_string((told_ ? wait : firstWait).count() / 1000);
         ++around_.tally.watches;
     }
     stream_->write(httpRequest("GET", target, at.host + ":" + std::to_string(at.port)));
     if (open_) stream_->flush();
-    alarm_ = around_.alarms.set(around_.clock.now() + (watch ? wait + beyondWait : callMost), [this] { again(); });
+    alarm_ =
+        around_.alarms.set(around_.clock.now() + (watch ? wait + beyondWait : callMost), [this] { again(); });
 }
 
 void Discovery::onOpen() {
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -22,11 +22,11 @@
 }  // namespace
 
 Gateway::Gateway(uv_loop_t *loop, const StartDocument &start, Log &log)
-    : around_{loop, start, log, {}, {}, {}, {}},
+    : around_{loop, start, log, {}, {}, {}, {}, {}},
       keeper_(start.site.facts, start.seed),
-      clients_(around_, book_, forConnections(start) / 2),
+      clients_(around_, book_, forConnections(start) * 3 / 5),
       workers_(
-          around_, forConnections(start) / 2,
+          around_, forConnections(start) * 2 / 5,
           [this](CallId call, std::string_view value) { return answered(call, value); },
           [this](CallId call) { return book_.find(call) == nullptr; }),
       counter_(around_),
@@ -76,10 +76,9 @@
         around_.alarms.set(around_.clock.now() + readyMost, [this] { clients_.ready(); });
     }
     discovery_.follow(true);
-    uv_prepare_start(before_.get(), [](uv_prepare_t *handle) {
-        static_cast<Gateway *>(handle->data)->turn();
-        static_cast<Gateway *>(handle->data)->wake();
-    });
+    around_.readAt = around_.clock.now();
+    uv_prepare_start(before_.get(),
+                     [](uv_prepare_t *handle) { static_cast<Gateway *>(handle->data)->wake(); });
     uv_check_start(after_.get(), [](uv_check_t *handle) { static_cast<Gateway *>(handle->data)->turn(); });
     around_.log.info("serving on ", start.listen.host, ":", start.listen.port);
     uv_run(around_.loop, UV_RUN_DEFAULT);
@@ -91,8 +90,11 @@
     clients_.leave();
 }
 
+/// Comes after the sockets were read: an answer that was there in time is not given up by an alarm, however
+/// long the machine stood still.
 void Gateway::turn() {
-    around_.alarms.run(around_.clock.now());
+    around_.readAt = around_.clock.now();
+    around_.alarms.run(around_.readAt);
     for (int round = 0; round < mostRounds && !around_.happened.empty(); ++round) handOver();
     workers_.flush();
     counter_.flush();
@@ -104,11 +106,12 @@
 void Gateway::handOver() {
     events_.clear();
     events_.swap(around_.happened);
-    std::ranges::stable_partition(events_,
-                                  [](const Event &event) { return std::holds_alternative<WorkerListed>(event); });
+    std::ranges::stable_partition(
+        events_, [](const Event &event) { return std::holds_alternative<WorkerListed>(event); });
     const Span now = around_.clock.now();
     actions_.clear();
-    for (const Event &event : events_) std::ranges::move(keeper_.handle(now, event), std::back_inserter(actions_));
+    for (const Event &event : events_)
+        std::ranges::move(keeper_.handle(now, event), std::back_inserter(actions_));
     for (const Action &action : actions_) {
         std::visit([this](const auto &what) { carry(what); }, action);
     }
--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -21,13 +21,21 @@
     }
 
     template <class... Parts>
-    void error(const Parts &...parts) { write(Level::error, parts...); }
+    void error(const Parts &...parts) {
+        write(Level::error, parts...);
+    }
     template <class... Parts>
-    void warning(const Parts &...parts) { write(Level::warning, parts...); }
+    void warning(const Parts &...parts) {
+        write(Level::warning, parts...);
+    }
     template <class... Parts>
-    void info(const Parts &...parts) { write(Level::info, parts...); }
+    void info(const Parts &...parts) {
+        write(Level::info, parts...);
+    }
     template <class... Parts>
-    void debug(const Parts &...parts) { write(Level::debug, parts...); }
+    void debug(const Parts &...parts) {
+        write(Level::debug, parts...);
+    }
 
 private:
     std::ostream &out_;
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -39,7 +39,8 @@
         [](uv_udp_t *socket, ssize_t size, const uv_buf_t *buffer, const sockaddr *from, unsigned) {
             if (size <= 0 || from == nullptr || from->sa_family != AF_INET) return;
             static_cast<Peers *>(socket->data)
-                ->hear({buffer->base, static_cast<std::size_t>(size)}, *reinterpret_cast<const sockaddr_in *>(from));
+                ->hear({buffer->base, static_cast<std::size_t>(size)},
+                       *reinterpret_cast<const sockaddr_in *>(from));
         });
 }
 
@@ -61,7 +62,8 @@
     if (message.peer ? message.peer->value >= peers.size() : !around_.start.peersAll) return;
     const sockaddr_in to = socketAddress(message.peer ? peers[message.peer->value] : *around_.start.peersAll);
     std::vector<std::byte> bytes = message.bytes;
-    uv_buf_t buffer = uv_buf_init(reinterpret_cast<char *>(bytes.data()), static_cast<unsigned>(bytes.size()));
+    uv_buf_t buffer =
+        uv_buf_init(reinterpret_cast<char *>(bytes.data()), static_cast<unsigned>(bytes.size()));
     if (uv_udp_try_send(socket_.get(), &buffer, 1, reinterpret_cast<const sockaddr *>(&to)) >= 0) {
         ++around_.tally.peerMessagesOut;
     }
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::size_t firstRoom = 2048, leastRoom = 1024;
+constexpr std::size_t mostIdleRoom = 16 * 1024;  // more is given back once all of it is read
 
 Stream *owner(void *data) { return static_cast<Stream *>(data); }
 
@@ -35,13 +36,14 @@
     Ptr stream(new Stream(loop, holder));
     const sockaddr_in at = socketAddress(to);
     stream->connecting_.data = stream.get();
-    const int failed = uv_tcp_connect(&stream->connecting_, &stream->tcp_,
-                                      reinterpret_cast<const sockaddr *>(&at), [](uv_connect_t *request, int status) {
-                                          Stream *self = owner(request->data);
-                                          if (self->holder_ == nullptr) return;
-                                          if (status == 0) self->opened();
-                                          if (status != 0) self->closed();
-                                      });
+    const int failed =
+        uv_tcp_connect(&stream->connecting_, &stream->tcp_, reinterpret_cast<const sockaddr *>(&at),
+                       [](uv_connect_t *request, int status) {
+                           Stream *self = owner(request->data);
+                           if (self->holder_ == nullptr) return;
+                           if (status == 0) self->opened();
+                           if (status != 0) self->closed();
+                       });
     return failed == 0 ? std::move(stream) : nullptr;
 }
 
@@ -69,7 +71,10 @@
 
 void Stream::room(uv_handle_t *handle, std::size_t, uv_buf_t *buffer) {
     Stream &self = *owner(handle->data);
-    if (self.begin_ == self.end_) self.begin_ = self.end_ = 0;
+    if (self.begin_ == self.end_) {
+        self.begin_ = self.end_ = 0;
+        if (self.in_.size() > mostIdleRoom) self.in_ = {};
+    }
     if (self.in_.size() - self.end_ < leastRoom && self.begin_ > 0) {
         std::memmove(self.in_.data(), self.in_.data() + self.begin_, self.end_ - self.begin_);
         self.end_ -= self.begin_;
@@ -86,9 +91,12 @@
     if (self.holder_ == nullptr || size == 0) return;
     if (size < 0) return self.closed();
     self.end_ += static_cast<std::size_t>(size);
-    const std::string_view bytes(self.in_.data() + self.begin_, self.end_ - self.begin_);
-    const std::size_t used = self.holder_->onBytes(bytes);
-    if (self.holder_ != nullptr) self.begin_ += used;
+    self.deliver();
+}
+
+void Stream::deliver() {
+    const std::size_t used = holder_->onBytes({in_.data() + begin_, end_ - begin_});
+    if (holder_ != nullptr) begin_ += used;
 }
 
 void Stream::flush() {
@@ -125,8 +133,12 @@
 void Stream::pause(bool on) {
     if (!open_ || over_) return;
     const auto handle = reinterpret_cast<uv_stream_t *>(&tcp_);
-    if (on) uv_read_stop(handle);
-    if (!on) uv_read_start(handle, room, came);
+    if (on) {
+        uv_read_stop(handle);
+    } else {
+        uv_read_start(handle, room, came);
+        if (begin_ < end_) deliver();  // what had come before the pause brings no bytes after it
+    }
 }
 
 }  // namespace arrowstile
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -54,6 +54,7 @@
     ~Stream() = default;
 
     void opened();
+    void deliver();
     void closed();
     static void room(uv_handle_t *handle, std::size_t, uv_buf_t *buffer);
     static void came(uv_stream_t *handle, ssize_t size, const uv_buf_t *);
--- a/src/net/workers.cpp
+++ b/src/net/workers.cpp
@@ -9,8 +9,8 @@
 using std::chrono::milliseconds;
 
 constexpr Span sweepEvery = milliseconds(500);
-// A worker's machine may close an idle connection sooner than the settings say, and what crosses that close may
-// have run: ours are given back well before, in this part of the time.
+// A worker's machine may close an idle connection sooner than the settings say, and what crosses that close
+// may have run: ours are given back well before, in this part of the time.
 constexpr int idlePart = 2;
 
 }  // namespace
@@ -29,7 +29,7 @@
 struct Workers::Pool {
     Address address;
     Span startedAt{};
-    bool ready = false, reachable = false;
+    bool ready = false, gone = false, reachable = false;
     std::vector<std::unique_ptr<Link>> links;  // the one used last stands last
 };
 
@@ -68,7 +68,10 @@
 
 void Workers::list(const TargetNews &news) {
     if (news.whole) {
-        for (auto &[id, pool] : pools_) pool.ready = false;
+        for (auto &[id, pool] : pools_) {
+            pool.ready = false;
+            pool.gone = true;
+        }
     }
     for (const Target &target : news.targets) {
         Pool &pool = pools_[target.entry.worker];
@@ -88,6 +91,7 @@
         pool.address = address;
         pool.startedAt = target.entry.startedAt;
         pool.ready = target.entry.state == WorkerState::ready;
+        pool.gone = target.entry.state == WorkerState::gone;
         if (another) closeIdle(target.entry.worker);
     }
     for (auto &[id, pool] : pools_) {
@@ -147,14 +151,15 @@
     link->stream->write(command);
     link->written += command.size();
     out.lastByte = link->written;
-    out.alarm = around_.alarms.set(out.sentAt + out.patience, [this, link, call = out.call, number = out.number] {
-        const auto late = std::ranges::find_if(
-            link->out, [&](const Out &one) { return one.call == call && one.number == number; });
-        const Out given = *late;
-        link->out.erase(late);
-        drop(*link, Outcome::reset);
-        ended(given, Outcome::timedOut, nullptr);
-    });
+    out.alarm =
+        around_.alarms.set(out.sentAt + out.patience, [this, link, call = out.call, number = out.number] {
+            const auto late = std::ranges::find_if(
+                link->out, [&](const Out &one) { return one.call == call && one.number == number; });
+            const Out given = *late;
+            link->out.erase(late);
+            drop(*link, Outcome::reset);
+            ended(given, Outcome::timedOut, nullptr);
+        });
     link->out.push_back(out);
     if (link->open) unflushed_.insert(link);
 }
@@ -258,8 +263,9 @@
 void Workers::callOff(CallId call, TryNumber number) {
     for (auto &[id, pool] : pools_) {
         for (const auto &link : pool.links) {
-            const auto found = std::ranges::find_if(
-                link->out, [&](const Out &one) { return !one.probe && one.call == call && one.number == number; });
+            const auto found = std::ranges::find_if(link->out, [&](const Out &one) {
+                return !one.probe && one.call == call && one.number == number;
+            });
             if (found == link->out.end()) continue;
             const Out given = *found;
             around_.alarms.clear(given.alarm);
@@ -283,12 +289,13 @@
 void Workers::sweep() {
     const Span now = around_.clock.now(), most = around_.start.site.idleLimit / idlePart;
     around_.alarms.set(now + sweepEvery, [this] { sweep(); });
-    if (most <= Span{}) return;
     for (auto &[id, pool] : pools_) {
+        if (most <= Span{}) break;
         std::erase_if(pool.links, [&](const auto &one) {
             return one->open && one->out.empty() && now - one->idleSince > most;
         });
     }
+    std::erase_if(pools_, [](const auto &one) { return one.second.gone && one.second.links.empty(); });
 }
 
 }  // namespace arrowstile
--- /dev/null
+++ b/tests/test_core.cpp
@@ -0,0 +1,298 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include "clock.hpp"
+#include "core/call_book.hpp"
+#include "core/http.hpp"
+#include "core/start_document.hpp"
+#include "core/targets.hpp"
+#include "core/worker_reply.hpp"
+#include "helpers.hpp"
+
+using namespace arrowstile;
+using namespace arrowstile::test;
+using resp::Parsed;
+
+namespace {
+
+std::string command(const std::vector<std::string> &words) {
+    std::string text;
+    resp::addArrayHead(text, words.size());
+    for (const std::string &word : words) resp::addBulk(text, word);
+    return text;
+}
+
+}  // namespace
+
+TEST_CASE("a command is whole, not yet whole, or broken") {
+    const std::string whole = command({"PING"}), big(resp::longestValue, 'x');
+    struct Row {
+        const char *name;
+        std::string in;
+        Parsed parsed;
+        std::size_t words;
+    };
+    const Row rows[] = {
+        {"nothing", "", Parsed::more, 0},
+        {"whole", whole, Parsed::whole, 1},
+        {"two of them", whole + whole, Parsed::whole, 1},
+        {"an empty word", "*1\r\n$0\r\n\r\n", Parsed::whole, 1},
+        {"the longest value", command({"SET", big}), Parsed::whole, 2},
+        {"a value too long", command({big + "x"}), Parsed::broken, 0},
+        {"a huge claim", "*1\r\n$99999999999\r\n", Parsed::broken, 0},
+        {"a claim past any number", "*1\r\n$99999999999999999999999\r\n", Parsed::broken, 0},
+        {"less than nothing", "*1\r\n$-1\r\n", Parsed::broken, 0},
+        {"no words", "*0\r\n", Parsed::broken, 0},
+        {"too many words", "*17\r\n", Parsed::broken, 0},
+        {"inline", "PING\r\n", Parsed::broken, 0},
+        {"HTTP", "GET / HTTP/1.1\r\n", Parsed::broken, 0},
+        {"a number for a word", "*1\r\n:5\r\n", Parsed::broken, 0},
+        {"no end of the word", "*1\r\n$1\r\nxyz", Parsed::broken, 0},
+        {"an endless line", "*" + std::string(5000, '1'), Parsed::broken, 0},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        resp::Command read;
+        CHECK(resp::parseCommand(row.in, read) == row.parsed);
+        if (row.parsed == Parsed::whole) CHECK(read.words.size() == row.words);
+    }
+    for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+        resp::Command read;
+        CHECK(resp::parseCommand(whole.substr(0, cut), read) == Parsed::more);
+    }
+}
+
+TEST_CASE("a worker's reply tells the outcome, the value and the figures") {
+    Site site;
+    site.loadColumns = {"q", "util"};
+    struct Row {
+        const char *in;
+        Parsed parsed;
+        Outcome outcome;
+        std::string value;
+        std::vector<double> load;
+    };
+    const Row rows[] = {
+        {"*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n", Parsed::whole, Outcome::answered, "hi", {}},
+        {"*3\r\n$0\r\n\r\n$14\r\nused=50,cost=3\r\n$16\r\nqueue=2,util=0.5\r\n",
+         Parsed::whole,
+         Outcome::answered,
+         "",
+         {2, 0.5}},
+        {"*3\r\n$2\r\nhi\r\n$-1\r\n$7\r\nqueue=2\r\n", Parsed::whole, Outcome::answered, "hi", {}},
+        {"*1\r\n$-1\r\n", Parsed::whole, Outcome::errored, "", {}},
+        {"-ERR failed\r\n", Parsed::whole, Outcome::errored, "", {}},
+        {"-ERR failed q=1,util=0.25\r\n", Parsed::whole, Outcome::errored, "", {1, 0.25}},
+        {"-BUSY\r\n", Parsed::whole, Outcome::full, "", {}},
+        {"-BUSY q=9,util=1\r\n", Parsed::whole, Outcome::full, "", {9, 1}},
+        {"-BUSYNESS\r\n", Parsed::whole, Outcome::errored, "", {}},
+        {"+OK\r\n", Parsed::whole, Outcome::errored, "", {}},
+        {":7\r\n", Parsed::whole, Outcome::errored, "", {}},
+        {"*3\r\n$2\r\nhi", Parsed::more, {}, "", {}},
+        {"*1\r\n*1\r\n*1\r\n*1\r\n:1\r\n", Parsed::broken, {}, "", {}},
+        {"*99999\r\n", Parsed::broken, {}, "", {}},
+        {"$99999\r\n", Parsed::broken, {}, "", {}},
+        {"\r\n", Parsed::broken, {}, "", {}},
+        {"nonsense\r\n", Parsed::broken, {}, "", {}},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.in);
+        resp::Reply reply;
+        REQUIRE(resp::parseReply(row.in, reply) == row.parsed);
+        if (row.parsed != Parsed::whole) continue;
+        const WorkerReply read = readWorkerReply(reply, site);
+        CHECK(read.outcome == row.outcome);
+        CHECK(read.value == row.value);
+        CHECK(read.load == row.load);
+        if (row.load == std::vector{2, 0.5}) CHECK((read.meteredShare == 0.5 && read.trueUnits == 3));
+    }
+}
+
+TEST_CASE("an API call passes on unchanged but for the patience, or is turned back with a reason") {
+    Site site;
+    site.routes = {"status", "order"};
+    site.plans = {"basic", "team"};
+    const std::string customer = "00000000b4d65521",
+                      list = "c=order,t=team,d=480,k=5c0f,units=2.5,spread=3,first=1";
+    struct Row {
+        const char *name;
+        std::vector<std::string> words;
+        const char *wrong;
+    };
+    const Row rows[] = {
+        {"whole", {"Q.DO", customer, "9b1f", list, "BODY"}, ""},
+        {"no body", {"Q.ASK", customer, "9b1f", "d=480,c=status,t=basic"}, ""},
+        {"unknown names pass", {"Q.ASK", customer, "9b1f", "c=status,t=basic,d=1,x=,y,,z=1"}, ""},
+        {"too short", {"Q.ASK", customer}, "wrong number of arguments"},
+        {"a customer that is none", {"Q.ASK", "b4d65521", "9b1f", list}, "no such customer"},
+        {"a customer past the end", {"Q.ASK", "0000000200000000", "9b1f", list}, "no such customer"},
+        {"an id too long", {"Q.ASK", customer, std::string(65, '1'), list}, "no such id"},
+        {"no class", {"Q.ASK", customer, "1", "t=team,d=480"}, "no class"},
+        {"no plan", {"Q.ASK", customer, "1", "c=order,d=480"}, "no plan"},
+        {"no time", {"Q.ASK", customer, "1", "c=order,t=team"}, "no time"},
+        {"an unknown class", {"Q.ASK", customer, "1", "c=odd,t=team,d=480"}, "unknown class"},
+        {"an unknown plan", {"Q.ASK", customer, "1", "c=order,t=odd,d=480"}, "unknown plan"},
+        {"a time that is none", {"Q.ASK", customer, "1", "c=order,t=team,d=nan"}, "bad time"},
+        {"a time below nought", {"Q.ASK", customer, "1", "c=order,t=team,d=-1"}, "bad time"},
+        {"units past any", {"Q.ASK", customer, "1", "c=order,t=team,d=1,units=1e300"}, "bad units"},
+        {"a spread past any", {"Q.ASK", customer, "1", "c=order,t=team,d=1,spread=-3"}, "bad spread"},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        const std::string text = command(row.words);
+        resp::Command read;
+        REQUIRE(resp::parseCommand(text, read) == Parsed::whole);
+        ApiCall call;
+        CHECK(readApiCall(read, site, call) == row.wrong);
+        if (*row.wrong != '\0') continue;
+        std::string sent;
+        call.addCommand(sent, milliseconds(77));
+        std::vector<std::string> words = row.words;
+        const auto at = words[3].find("d=") + 2;
+        words[3].replace(at, std::min(words[3].find(',', at), words[3].size()) - at, "77");
+        CHECK(sent == command(words));
+        if (row.words.size() < 5) continue;
+        CHECK(call.taken.route == RouteId{1});
+        CHECK(call.taken.plan == PlanId{1});
+        CHECK(call.taken.customer == CustomerId{0xb4d65521});
+        CHECK(call.taken.units == 2.5);
+        CHECK(call.taken.gateways == 3);
+        CHECK(call.taken.left == milliseconds(480));
+    }
+}
+
+TEST_CASE("answers leave in the order of the commands, each once") {
+    AnswerQueue queue;
+    std::string out;
+    const Place first = queue.open(), second = queue.open(), third = queue.open();
+    CHECK(queue.answer(second, "2"));
+    queue.take(out);
+    CHECK(out.empty());
+    CHECK(queue.answer(first, "1"));
+    CHECK(!queue.answer(first, "again"));
+    queue.take(out);
+    CHECK(out == "12");
+    CHECK(!queue.answer(second, "again"));
+    CHECK(!queue.answer(Place{9}, "never asked"));
+    CHECK(queue.answer(third, "3"));
+    queue.take(out);
+    CHECK(out == "123");
+    CHECK(queue.waiting() == 0);
+}
+
+TEST_CASE("a call leaves the book once, by its answer or with its client") {
+    CallBook book;
+    ApiCall call;
+    call.body = "12345";
+    const CallId one = book.add(call, {1}, {0}, {}), two = book.add(call, {1}, {1}, {}),
+                 other = book.add(call, {2}, {0}, {});
+    CHECK(book.bytes() == 15);
+    CHECK(book.end(one));
+    CHECK(!book.end(one));
+    CHECK(book.drop({1}) == std::vector{two});
+    CHECK(book.drop({1}).empty());
+    CHECK(book.find(two) == nullptr);
+    CHECK(book.find(other) != nullptr);
+    CHECK((book.size() == 1 && book.bytes() == 5));
+    CHECK(rateLimitAnswer(std::nullopt) == "-BUSY\r\n");
+    CHECK(rateLimitAnswer(Span{1500}) == "-BUSY 2\r\n");
+    CHECK(erroredAnswer() == "-ERR failed\r\n");
+    CHECK(proxiedAnswer("a\r\nb") == "$4\r\na\r\nb\r\n");
+}
+
+TEST_CASE("HTTP answers come out in order, however the bytes are cut, and bad ones end it") {
+    const std::string two =
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n7.5"
+        "HTTP/1.1 503 Busy\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n2\r\nno\r\n0\r\n\r\n";
+    for (const std::size_t step : {std::size_t{1}, std::size_t{7}, two.size()}) {
+        std::vector<HttpAnswer> heard;
+        HttpAnswers answers(10, [&](HttpAnswer answer) { heard.push_back(answer); });
+        for (std::size_t at = 0; at < two.size(); at += step) CHECK(answers.take(two.substr(at, step)));
+        REQUIRE(heard.size() == 2);
+        CHECK((heard[0].status == 200 && heard[0].body == "7.5" && heard[0].keepsOpen));
+        CHECK((heard[1].status == 503 && heard[1].body == "no" && !heard[1].keepsOpen));
+    }
+    for (const char *bad : {"nonsense\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n12345678901"}) {
+        HttpAnswers answers(10, [](const HttpAnswer &) {});
+        CHECK(!answers.take(bad));
+    }
+}
+
+TEST_CASE("a list of workers: ids by name, states, and what is no list") {
+    Site site;
+    site.zones = {"a", "b"};
+    TargetReader reader(site), another(site);
+    const std::string one =
+        R"({"index":41,"snapshot":true,"endpoints":[{"name":"s-1","address":"127.0.0.1:1","zone":"b",
+        "group":3,"status":"Ready","weight":1.5,"since_ms":1000},{"name":"s-2","status":"Gone"},
+        {"name":"s-3","status":"Terminating"}]})";
+    const TargetNews news = reader.read(one);
+    REQUIRE(news.targets.size() == 3);
+    CHECK((news.version == 41 && news.whole));
+    CHECK(news.targets[0].entry.zone == ZoneId{1});
+    CHECK(news.targets[0].entry.startedAt == milliseconds(1000));
+    CHECK(news.targets[0].entry.state == WorkerState::ready);
+    CHECK(news.targets[1].entry.state == WorkerState::gone);
+    CHECK(news.targets[2].entry.state == WorkerState::draining);
+    CHECK(another.read(R"({"index":1,"endpoints":[{"name":"s-3"}]})").targets[0].entry.worker ==
+          news.targets[2].entry.worker);
+    for (const char *bad :
+         {"", "[]", "{}", R"({"index":"x","endpoints":[]})", R"({"index":1,"endpoints":[{}]})"}) {
+        CAPTURE(bad);
+        CHECK_THROWS_AS(reader.read(bad), FactsError);
+    }
+}
+
+TEST_CASE("a start document that is wrong is told in one line") {
+    const std::string settings =
+        R"("settings":{"balancers":1,"classes":[],"rules":{},"permissions":{"keepaliveMs":15000}})";
+    const std::string start =
+        R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"ff","peers":["127.0.0.1:3"],)";
+    const StartDocument read = readStart(start + settings + "}");
+    CHECK(read.seed == 255);
+    CHECK(read.listen == Address{"127.0.0.1", 1});
+    CHECK(read.peers == std::vector{Address{"127.0.0.1", 3}});
+    CHECK(!read.counter);
+    CHECK(read.known.empty());
+    CHECK(read.site.idleLimit == milliseconds(15000));
+    const std::string rows[] = {
+        "",
+        "{",
+        "[]",
+        "{}",
+        start + "}",
+        "{" + settings + "}",
+        R"({"listen":5,)" + settings + "}",
+        R"({"listen":"127.0.0.1","discovery":"127.0.0.1:2",)" + settings + "}",
+        R"({"listen":"127.0.0.1:99999","discovery":"127.0.0.1:2",)" + settings + "}",
+        R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"xyz",)" + settings + "}",
+        start + R"("settings":{"balancers":1,"rules":{},"classes":[{"effect":"odd"}]}})"};
+    for (const std::string &row : rows) {
+        CAPTURE(row);
+        try {
+            readStart(row);
+            CHECK(false);
+        } catch (const FactsError &error) {
+            CHECK(std::string_view(error.what()).find('\n') == std::string_view::npos);
+        }
+    }
+}
+
+TEST_CASE("alarms ring in order of time, and not once cleared") {
+    Alarms alarms;
+    std::string rung;
+    alarms.set(Span{20}, [&] { rung += 'b'; });
+    alarms.set(Span{10}, [&] { rung += 'a'; });
+    const auto never = alarms.set(Span{15}, [&] { rung += 'x'; });
+    alarms.set(Span{20}, [&] {
+        alarms.set(Span{20}, [&] { rung += 'd'; });
+        rung += 'c';
+    });
+    alarms.clear(never);
+    CHECK(alarms.next() == Span{10});
+    alarms.run(Span{10});
+    CHECK(rung == "a");
+    alarms.run(Span{30});
+    CHECK(rung == "abcd");
+    CHECK(!alarms.next());
+}
--- /dev/null
+++ b/tests/test_gateway.cpp
@@ -0,0 +1,336 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <arpa/inet.h>
+#include <doctest/doctest.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <csignal>
+#include <sstream>
+#include <thread>
+
+#include "gateway.hpp"
+
+using namespace arrowstile;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// One end of a connection, or a listener, on loopback.
+class Socket {
+public:
+    explicit Socket(int handle = -1) : handle_(handle) {}
+    Socket(Socket &&other) noexcept : handle_(std::exchange(other.handle_, -1)) {}
+    Socket &operator=(Socket &&other) noexcept {
+        std::swap(handle_, other.handle_);
+        return *this;
+    }
+    ~Socket() { close(); }
+
+    static Socket listening() {
+        Socket made(::socket(AF_INET, SOCK_STREAM, 0));
+        const sockaddr_in at = made.address(0);
+        REQUIRE(::bind(made.handle_, reinterpret_cast<const sockaddr *>(&at), sizeof at) == 0);
+        REQUIRE(::listen(made.handle_, 16) == 0);
+        return made;
+    }
+
+    static Socket connected(int port) {
+        Socket made(::socket(AF_INET, SOCK_STREAM, 0));
+        const sockaddr_in at = made.address(port);
+        if (::connect(made.handle_, reinterpret_cast<const sockaddr *>(&at), sizeof at) != 0) made.close();
+        return made;
+    }
+
+    int port() const {
+        sockaddr_in at{};
+        socklen_t size = sizeof at;
+        ::getsockname(handle_, reinterpret_cast<sockaddr *>(&at), &size);
+        return ntohs(at.sin_port);
+    }
+
+    bool open() const { return handle_ >= 0; }
+    void close() {
+        if (handle_ >= 0) ::close(std::exchange(handle_, -1));
+    }
+    bool ready(milliseconds wait) const {
+        pollfd what{handle_, POLLIN, 0};
+        return ::poll(&what, 1, static_cast<int>(wait.count())) > 0;
+    }
+    Socket accept(milliseconds wait = milliseconds(3000)) const {
+        return Socket(ready(wait) ? ::accept(handle_, nullptr, nullptr) : -1);
+    }
+    void write(std::string_view text) const { ::send(handle_, text.data(), text.size(), MSG_NOSIGNAL); }
+    /// What comes until `end` is there, the other side has closed or the time is up.
+    std::string read(std::string_view end = "\r\n", milliseconds wait = milliseconds(3000)) const {
+        std::string text;
+        while (text.find(end) == std::string::npos && ready(wait)) {
+            char bytes[4096];
+            const ssize_t size = ::recv(handle_, bytes, sizeof bytes, 0);
+            if (size <= 0) return text + "<closed>";
+            text.append(bytes, static_cast<std::size_t>(size));
+        }
+        return text;
+    }
+
+private:
+    static sockaddr_in address(int port) {
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_port = htons(static_cast<std::uint16_t>(port));
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        return at;
+    }
+
+    int handle_;
+};
+
+std::string word(std::string_view text) {
+    std::string out;
+    resp::addBulk(out, text);
+    return out;
+}
+
+std::string call(const char *route, int patienceMs) {
+    return "*4\r\n" + word(std::string_view(route) == "status" ? "Q.ASK" : "Q.DO") +
+           word("00000000b4d65521") + word("1f") +
+           word("c=" + std::string(route) + ",t=basic,d=" + std::to_string(patienceMs) +
+                ",units=1,spread=1,first=0");
+}
+
+const std::string served = "*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n";
+
+/// A gatekeeper in a thread, and beside it all that it speaks to.
+struct World {
+    World() {
+        const auto at = [](int number) { return "\"127.0.0.1:" + std::to_string(number) + "\""; };
+        Socket free = Socket::listening();
+        port = free.port();
+        free.close();
+        start = readStart(
+            R"({"listen":)" + at(port) + R"(,"discovery":)" + at(discovery.port()) + R"(,"counter":)" +
+            at(counter.port()) + R"(,"known":{"index":1,"endpoints":[{"name":"w","address":)" +
+            at(worker.port()) +
+            R"(,"status":"Ready"}]},"settings":{"balancers":1,"rules":{"rampTimeMs":1000},"classes":[
+            {"name":"status","effect":"safe","onTimeMs":800,"deadlineMs":1000},
+            {"name":"dispatch","effect":"unsafe","onTimeMs":800,"deadlineMs":1000}],
+            "packages":[{"name":"basic","refill":1,"storeSize":100}],"familyInfo":{"mayCount":true,"countLimitMs":50},
+            "permissions":{"cancel":true,"retryAfter":true,"sendCap":3,"maxRetryAfterMs":1000,"connectTimeoutMs":250,
+            "keepaliveMs":600,"streamsPerConn":4}}})");
+        thread = std::thread([this] {
+            uv_loop_t loop;
+            uv_loop_init(&loop);
+            {
+                Log log(said, Log::Level::info);
+                Gateway(&loop, start, log).run();
+            }
+            uv_run(&loop, UV_RUN_DEFAULT);
+            left = uv_loop_close(&loop);
+            over = true;
+        });
+        watch = discovery.accept();
+        watch.read("\r\n\r\n");
+    }
+    ~World() {
+        stop();
+        thread.join();
+        CHECK(left == 0);  // nothing is still open on the loop
+    }
+    void stop() {
+        if (!std::exchange(stopped, true)) ::kill(::getpid(), SIGTERM);
+    }
+    void tell(const std::string &endpoints) {
+        const std::string body = R"({"index":2,"snapshot":false,"endpoints":[)" + endpoints + "]}";
+        watch.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        CHECK(watch.read("\r\n\r\n").find("since=2") != std::string::npos);  // the next watch
+    }
+    Socket client() {
+        Socket made = Socket::connected(port);
+        REQUIRE(made.open());
+        return made;
+    }
+    Socket ready() {
+        tell("");
+        Socket made = client();
+        made.write("*1\r\n$4\r\nPING\r\n");
+        CHECK(made.read() == "+PONG\r\n");
+        return made;
+    }
+
+    Socket discovery = Socket::listening(), counter = Socket::listening(), worker = Socket::listening(),
+           watch;
+    int port = 0, left = -1;
+    StartDocument start;
+    std::ostringstream said;
+    std::atomic<bool> over = false;
+    bool stopped = false;
+    std::thread thread;
+};
+
+}  // namespace
+
+TEST_CASE("what becomes of a try decides the one final answer") {
+    struct Row {
+        const char *name, *route, *reply, *answer;
+        bool closes;
+        int tries;
+    };
+    const Row rows[] = {
+        {"served", "dispatch", served.c_str(), "$2\r\nhi\r\n", false, 1},
+        {"an error of what must not run twice", "dispatch", "-ERR failed\r\n", "-ERR failed\r\n", false, 1},
+        {"a break of what must not run twice", "dispatch", "", "-ERR failed\r\n", true, 1},
+        {"half a reply and a break", "dispatch", "*3\r\n$2\r\nh", "-ERR failed\r\n", true, 1},
+        {"nonsense", "dispatch", "nonsense\r\n", "-ERR failed\r\n", false, 1},
+        {"an error of what may run again", "status", "-ERR failed\r\n", "$2\r\nhi\r\n", false, 2},
+        {"a break of what may run again", "status", "", "$2\r\nhi\r\n", true, 2},
+        {"turned away unseen", "dispatch", "-BUSY\r\n", "$2\r\nhi\r\n", false, 2},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        World world;
+        const Socket client = world.ready();
+        client.write(call(row.route, 1000) + "*1\r\n$4\r\nPING\r\n");
+        Socket link = world.worker.accept();
+        const std::string sent = link.read("first=0\r\n");
+        CHECK(sent.find("c=" + std::string(row.route)) != std::string::npos);
+        link.write(row.reply);
+        if (row.closes) link.close();
+        if (row.tries == 2) {
+            if (row.closes) link = world.worker.accept();
+            CHECK(link.read("first=0\r\n").find("c=" + std::string(row.route)) != std::string::npos);
+            link.write(served);
+        }
+        // and nothing more for the call
+        CHECK(client.read("PONG\r\n") == std::string(row.answer) + "+PONG\r\n");
+    }
+}
+
+TEST_CASE("a try that is never answered is given up in time, and its connection with it") {
+    for (const char *route : {"status", "dispatch"}) {
+        CAPTURE(route);
+        World world;
+        const Socket client = world.ready();
+        const auto begun = std::chrono::steady_clock::now();
+        client.write(call(route, 300));
+        const Socket link = world.worker.accept();
+        link.read("first=0\r\n");
+        CHECK(client.read().substr(0, 5) == (std::string_view(route) == "status" ? "-BUSY" : "-ERR "));
+        CHECK(std::chrono::steady_clock::now() - begun < milliseconds(360));
+        CHECK(link.read("x") == "<closed>");
+    }
+}
+
+TEST_CASE("a client that goes away has its try called off") {
+    World world;
+    Socket client = world.ready();
+    client.write(call("status", 1000));
+    const Socket link = world.worker.accept();
+    link.read("first=0\r\n");
+    client.close();
+    CHECK(link.read("x", milliseconds(500)) == "<closed>");
+}
+
+TEST_CASE("answers keep the order of their commands") {
+    World world;
+    const Socket client = world.ready();
+    client.write(call("status", 1000) + call("status", 1000) + "*1\r\n$4\r\nPING\r\n");
+    const Socket one = world.worker.accept(), two = world.worker.accept();
+    one.read("first=0\r\n");
+    two.read("first=0\r\n");
+    two.write("*3\r\n$3\r\ntwo\r\n$-1\r\n$-1\r\n");
+    CHECK(!client.ready(milliseconds(100)));
+    one.write("*3\r\n$3\r\none\r\n$-1\r\n$-1\r\n");
+    CHECK(client.read("PONG\r\n") == "$3\r\none\r\n$3\r\ntwo\r\n+PONG\r\n");
+}
+
+TEST_CASE("nothing new goes to a worker that drains, also not on a connection still coming up") {
+    World world;
+    const Socket client = world.ready();
+    client.write(call("status", 1000));
+    const Socket link = world.worker.accept();
+    link.read("first=0\r\n");
+    world.tell(R"({"name":"w","status":"Terminating"})");
+    link.write(served);
+    CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+    CHECK(link.read("x") == "<closed>");
+    client.write(call("status", 1000));
+    CHECK(client.read().substr(0, 5) == "-BUSY");
+    CHECK(!world.worker.accept(milliseconds(100)).open());
+}
+
+TEST_CASE("an idle connection is given back before the worker's machine would close it") {
+    World world;
+    const Socket client = world.ready();
+    client.write(call("status", 1000));
+    const Socket link = world.worker.accept();
+    link.read("first=0\r\n");
+    link.write(served);
+    CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+    CHECK(link.read("x", milliseconds(1500)) == "<closed>");
+}
+
+TEST_CASE("a pass is reported to the counter, and one without an answer is not repeated") {
+    World world;
+    const Socket client = world.ready();
+    client.write(call("status", 1000));
+    const Socket link = world.worker.accept(), count = world.counter.accept();
+    CHECK(count.read("\r\n\r\n").find("?delta=1&life_ms=60000 HTTP/1.1\r\n") != std::string::npos);
+    link.read("first=0\r\n");
+    link.write(served);
+    CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+    CHECK(!count.ready(milliseconds(150)));
+    CHECK(!world.counter.accept(milliseconds(50)).open());
+}
+
+TEST_CASE("what waits in the buffer of a connection that was not read for a while is served too") {
+    World world;
+    const Socket client = world.ready();
+    std::string pings, pongs;
+    for (int left = 3000; left > 0; --left) {
+        pings += "*1\r\n$4\r\nPING\r\n";
+        pongs += "+PONG\r\n";
+    }
+    client.write(pings);
+    std::string came;
+    while (came.size() < pongs.size() && client.ready(milliseconds(1000))) came += client.read("PONG\r\n");
+    CHECK(came == pongs);
+}
+
+TEST_CASE("not ready before discovery has spoken; bad commands get a plain error") {
+    World world;
+    const Socket early = world.client();
+    early.write("*1\r\n$4\r\nPING\r\n");
+    CHECK(early.read().substr(0, 8) == "-LOADING");
+    const Socket client = world.ready();
+    client.write("*1\r\n$3\r\nFOO\r\n" + call("odd", 100));
+    CHECK(client.read("class\r\n") == "-ERR unknown command\r\n-ERR unknown class\r\n");
+    client.write("*1\r\n$4\r\nINFO\r\n");
+    CHECK(client.read("peer_messages_out:0").find("bad_commands:2\r\n") != std::string::npos);
+    client.write("nonsense\r\n");
+    CHECK(client.read("x") == "-ERR Protocol error\r\n<closed>");
+    const Socket endless = world.client();
+    endless.write("*5\r\n$65536\r\n" + std::string(65536, 'x') + "\r\n$65536\r\n" + std::string(30000, 'x'));
+    CHECK(endless.read("x") == "-ERR Protocol error\r\n<closed>");
+}
+
+TEST_CASE(
+    "a planned stop answers what it has taken, takes what still comes, and ends with a client that stays") {
+    World world;
+    const Socket idle = world.ready(), busy = world.client();
+    busy.write(call("status", 1000));
+    const Socket link = world.worker.accept();
+    link.read("first=0\r\n");
+    world.stop();
+    std::this_thread::sleep_for(milliseconds(250));
+    const Socket late = world.client();
+    late.write("*1\r\n$4\r\nPING\r\n");
+    CHECK(late.read() == "+PONG\r\n");
+    CHECK(idle.read("x") == "<closed>");
+    CHECK(!world.over);
+    link.write(served);
+    CHECK(busy.read("x") == "$2\r\nhi\r\n<closed>");
+    for (int left = 100; left > 0 && !world.over; --left) std::this_thread::sleep_for(milliseconds(10));
+    CHECK(world.over);
+    CHECK(!Socket::connected(world.port).open());
+}
