After a stop of the machine sockets are read before any alarm, and old calls are known as old

Seen by hand with a stopped process: a call that came at the start of a stop of 1 s with 600 ms to go was sent on. Cause: libuv's poll, interrupted in its sleep, comes back without reading (Gateway::turn took that for a look), and a connection taken after the stop was read one turn later (Clients::obey). Now an overslept loop reads once more before alarms ring, and a connection's first call is as old as the connection may be. A try whose time is up before it is sent ends as not sent, which proves that it never ran. Test: a loop stopped by a signal.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -25,7 +25,8 @@
 }  // namespace
 
 struct Clients::Link final : Stream::Holder {
-    Link(Clients &clients, ClientId number, Span now) : all(clients), id(number), lastUsed(now) {}
+    Link(Clients &clients, ClientId number, Span now)
+        : all(clients), id(number), lastUsed(now), openSince(clients.around_.readAt) {}
 
     ~Link() { all.left_ -= counted; }
 
@@ -47,6 +48,7 @@
             all.obey(*this, command);
             holdBack();
         }
+        openSince = Span::max();
         partial = used < bytes.size();
         return ending ? bytes.size() : used;
     }
@@ -91,7 +93,7 @@
     const ClientId id;
     Stream::Ptr stream;
     AnswerQueue queue;
-    Span lastUsed;
+    Span lastUsed, openSince;  ///< the second until something was read
     std::size_t counted = 0;
     bool paused = false, partial = false, ending = false, finished = false;
 };
@@ -156,9 +158,10 @@
             return;
         }
         if (wrong.empty()) {
-            // It may have come at any time since the sockets were last read.
+            // It may have come at any time since the sockets were last read, or before its connection was
+            // taken.
             const Span now = around_.clock.now();
-            call.taken.left -= now - around_.readAt;
+            call.taken.left -= now - std::min(around_.readAt, link.openSince);
             const Place place = link.queue.open();
             const CallTaken taken = call.taken;
             const CallId id = book_.add(std::move(call), link.id, place, now);
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -13,6 +13,7 @@
 // A start is ready with discovery's first answer; with a list from before, no later than this.
 constexpr Span readyMost = milliseconds(1000);
 constexpr int mostRounds = 8;
+constexpr Span oversleep = milliseconds(5);
 
 std::size_t forConnections(const StartDocument &start) {
     const std::size_t kept = spareSockets + counterSockets;
@@ -93,8 +94,14 @@
 /// Comes after the sockets were read: an answer that was there in time is not given up by an alarm, however
 /// long the machine stood still.
 void Gateway::turn() {
-    around_.readAt = around_.clock.now();
-    around_.alarms.run(around_.readAt);
+    const Span now = around_.clock.now();
+    // A loop that was stopped in its sleep comes back without having read: it looks once more before any
+    // alarm.
+    overslept_ = now > wakeBy_ + oversleep && !overslept_;
+    if (!overslept_) {
+        around_.readAt = now;
+        around_.alarms.run(now);
+    }
     for (int round = 0; round < mostRounds && !around_.happened.empty(); ++round) handOver();
     workers_.flush();
     counter_.flush();
@@ -121,7 +128,9 @@
 void Gateway::wake() {
     const auto next = around_.happened.empty() ? around_.alarms.next() : std::optional(Span{});
     if (!next) return;
-    const std::int64_t left = (*next - around_.clock.now()).count();
+    const Span now = around_.clock.now();
+    const std::int64_t left = (*next - now).count();
+    wakeBy_ = std::max(now, *next);
     uv_update_time(around_.loop);
     uv_timer_start(
         timer_.get(), [](uv_timer_t *) {}, left > 0 ? static_cast<std::uint64_t>((left + 999) / 1000) : 0, 0);
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -61,6 +61,8 @@
     Counter counter_;
     Discovery discovery_;
     Peers peers_;
+    Span wakeBy_{};
+    bool overslept_ = false;
     std::vector<Event> events_;
     std::vector<Action> actions_;
     std::unique_ptr<uv_prepare_t, Closing> before_;
--- a/src/net/workers.cpp
+++ b/src/net/workers.cpp
@@ -108,7 +108,7 @@
     if (found == pools_.end()) return notSent(action, number);
     const Span now = around_.clock.now();
     Out out{action.worker, action.call, number, false, now, action.notPast - now};
-    if (out.patience <= Span{}) return ended(out, Outcome::timedOut, nullptr);
+    if (out.patience <= Span{}) return ended(out, Outcome::notSent, nullptr);
     std::string command;
     call.addCommand(command, out.patience);
     put(found->second, action.worker, out, std::move(command));
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -283,6 +283,23 @@
     CHECK(!world.counter.accept(milliseconds(50)).open());
 }
 
+TEST_CASE("after a stop of the machine what came in time counts, and what is too old is not sent on") {
+    World world;
+    const Socket client = world.ready();
+    client.write(call("dispatch", 500));
+    const Socket link = world.worker.accept();
+    link.read("first=0\r\n");
+    std::signal(SIGUSR2, [](int) { ::usleep(700000); });
+    ::pthread_kill(world.thread.native_handle(), SIGUSR2);
+    std::this_thread::sleep_for(milliseconds(100));
+    link.write(served);
+    const Socket other = world.client();
+    other.write(call("dispatch", 300));
+    CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+    CHECK(other.read().substr(0, 5) == "-BUSY");
+    CHECK(!link.ready(milliseconds(50)));
+}
+
 TEST_CASE("what waits in the buffer of a connection that was not read for a while is served too") {
     World world;
     const Socket client = world.ready();
