--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -113,16 +113,16 @@
     uv_tcp_init(around_.loop, listener_.get());
     listener_->data = this;
     const sockaddr_in address = socketAddress(at);
-    int failed = uv_tcp_bind(listener_.get(), reinterpret_cast<const sockaddr *>(&address), 0);
-    if (failed == 0) {
-        failed = uv_listen(reinterpret_cast<uv_stream_t *>(listener_.get()), backlog,
+    int error = uv_tcp_bind(listener_.get(), reinterpret_cast<const sockaddr *>(&address), 0);
+    if (error == 0) {
+        error = uv_listen(reinterpret_cast<uv_stream_t *>(listener_.get()), backlog,
                            [](uv_stream_t *listener, int status) {
                                if (status == 0) static_cast<Clients *>(listener->data)->accept();
                            });
     }
-    if (failed != 0) {
+    if (error != 0) {
         throw FactsError("can't listen on " + at.host + ":" + std::to_string(at.port) + ": " +
-                         uv_strerror(failed));
+                         uv_strerror(error));
     }
 }
 
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -28,8 +28,8 @@
     uv_udp_init(around_.loop, socket_.get());
     socket_->data = this;
     const sockaddr_in at = socketAddress(*around_.start.peerListen);
-    const int failed = uv_udp_bind(socket_.get(), reinterpret_cast<const sockaddr *>(&at), 0);
-    if (failed != 0) throw FactsError(std::string("can't bind 'peer_listen': ") + uv_strerror(failed));
+    const int error = uv_udp_bind(socket_.get(), reinterpret_cast<const sockaddr *>(&at), 0);
+    if (error != 0) throw FactsError(std::string("can't bind 'peer_listen': ") + uv_strerror(error));
     uv_udp_recv_start(
         socket_.get(),
         [](uv_handle_t *handle, std::size_t, uv_buf_t *buffer) {
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -36,7 +36,7 @@
     Ptr stream(new Stream(loop, holder));
     const sockaddr_in at = socketAddress(to);
     stream->connecting_.data = stream.get();
-    const int failed =
+    const int error =
         uv_tcp_connect(&stream->connecting_, &stream->tcp_, reinterpret_cast<const sockaddr *>(&at),
                        [](uv_connect_t *request, int status) {
                            Stream *self = owner(request->data);
@@ -44,7 +44,7 @@
                            if (status == 0) self->opened();
                            if (status != 0) self->closed();
                        });
-    return failed == 0 ? std::move(stream) : nullptr;
+    return error == 0 ? std::move(stream) : nullptr;
 }
 
 Stream::Ptr Stream::accept(uv_stream_t *listener, Holder *holder) {
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -99,7 +99,7 @@
                 ",units=1,spread=1,first=0");
 }
 
-const std::string served = "*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n";
+const std::string proxied = "*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n";
 
 /// A gatekeeper in a thread, and beside it all that it speaks to.
 struct World {
@@ -177,7 +177,7 @@
         int tries;
     };
     const Row rows[] = {
-        {"served", "dispatch", served.c_str(), "$2\r\nhi\r\n", false, 1},
+        {"proxied", "dispatch", proxied.c_str(), "$2\r\nhi\r\n", false, 1},
         {"an error of what must not run twice", "dispatch", "-ERR failed\r\n", "-ERR failed\r\n", false, 1},
         {"a break of what must not run twice", "dispatch", "", "-ERR failed\r\n", true, 1},
         {"half a reply and a break", "dispatch", "*3\r\n$2\r\nh", "-ERR failed\r\n", true, 1},
@@ -199,7 +199,7 @@
         if (row.tries == 2) {
             if (row.closes) link = world.worker.accept();
             CHECK(link.read("first=0\r\n").find("c=" + std::string(row.route)) != std::string::npos);
-            link.write(served);
+            link.write(proxied);
         }
         // and nothing more for the call
         CHECK(client.read("PONG\r\n") == std::string(row.answer) + "+PONG\r\n");
@@ -251,7 +251,7 @@
     const Socket link = world.worker.accept();
     link.read("first=0\r\n");
     world.tell(R"({"name":"w","status":"Terminating"})");
-    link.write(served);
+    link.write(proxied);
     CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
     CHECK(link.read("x") == "<closed>");
     client.write(call("status", 1000));
@@ -265,7 +265,7 @@
     client.write(call("status", 1000));
     const Socket link = world.worker.accept();
     link.read("first=0\r\n");
-    link.write(served);
+    link.write(proxied);
     CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
     CHECK(link.read("x", milliseconds(1500)) == "<closed>");
 }
@@ -277,7 +277,7 @@
     const Socket link = world.worker.accept(), count = world.counter.accept();
     CHECK(count.read("\r\n\r\n").find("?delta=1&life_ms=60000 HTTP/1.1\r\n") != std::string::npos);
     link.read("first=0\r\n");
-    link.write(served);
+    link.write(proxied);
     CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
     CHECK(!count.ready(milliseconds(150)));
     CHECK(!world.counter.accept(milliseconds(50)).open());
@@ -292,7 +292,7 @@
     std::signal(SIGUSR2, [](int) { ::usleep(700000); });
     ::pthread_kill(world.thread.native_handle(), SIGUSR2);
     std::this_thread::sleep_for(milliseconds(100));
-    link.write(served);
+    link.write(proxied);
     const Socket other = world.client();
     other.write(call("dispatch", 300));
     CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
@@ -300,7 +300,7 @@
     CHECK(!link.ready(milliseconds(50)));
 }
 
-TEST_CASE("what waits in the buffer of a connection that was not read for a while is served too") {
+TEST_CASE("what waits in the buffer of a connection that was not read for a while is answered too") {
     World world;
     const Socket client = world.ready();
     std::string pings, pongs;
@@ -345,7 +345,7 @@
     CHECK(late.read() == "+PONG\r\n");
     CHECK(idle.read("x") == "<closed>");
     CHECK(!world.over);
-    link.write(served);
+    link.write(proxied);
     CHECK(busy.read("x") == "$2\r\nhi\r\n<closed>");
     for (int left = 100; left > 0 && !world.over; --left) std::this_thread::sleep_for(milliseconds(10));
     CHECK(world.over);
