--- a/include/arrowstile/actions.hpp
+++ b/include/arrowstile/actions.hpp
@@ -53,6 +53,7 @@
     CountName name;
     double amount = 0;
     Span keep{};  ///< how long the name lives, if this call makes it
+    Span wait{};  ///< for its answer, where the counter leaves that to its callers
 };
 
 struct FollowList {
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -288,14 +288,14 @@
         Customer &cons = customers.at(id);
         const bool asked = meaning == Meaning::open && !cons.held.empty();
         if (count.unsent == 0 && !read && !asked) return;
-        if (!mayCall(read ? atOnce() / 2 : 1)) {
-            if (count.due) list(id, cons);
-            return;
-        }
+        const bool may = mayCall(read ? atOnce() / 2 : 1);
+        if (!may && count.due) list(id, cons);
+        if (!may) return;
         count.due = false;
         const CountName name = nameOf(id, meaning, count.index);
         countCalls[name] = {id, meaning, count.index};
-        actions.push_back(AddCount{name, count.unsent, std::min(kLongest, 3 * length)});
+        const Span wait = 4 * facts.countTimeout;  // a late answer still beats an add of unknown fate
+        actions.push_back(AddCount{name, count.unsent, std::min(kLongest, 3 * length), wait});
         count.calling = std::exchange(count.unsent, 0);
         count.callOut = true;
         if (asked) cons.heldInCall = cons.held.size();
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -101,7 +101,7 @@
     link->name = action.name;
     link->sentAt = now;
     link->busy = true;
-    link->gives = around_.alarms.set(now + around_.start.site.facts.countTimeout, [this, link] {
+    link->gives = around_.alarms.set(now + action.wait, [this, link] {
         const bool seen = link->open && link->stream->sent() >= link->written;
         if (!seen) return drop(*link, false);
         link->late = true;
