--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -116,9 +116,9 @@
     int error = uv_tcp_bind(listener_.get(), reinterpret_cast<const sockaddr *>(&address), 0);
     if (error == 0) {
         error = uv_listen(reinterpret_cast<uv_stream_t *>(listener_.get()), backlog,
-                           [](uv_stream_t *listener, int status) {
-                               if (status == 0) static_cast<Clients *>(listener->data)->accept();
-                           });
+                          [](uv_stream_t *listener, int status) {
+                              if (status == 0) static_cast<Clients *>(listener->data)->accept();
+                          });
     }
     if (error != 0) {
         throw FactsError("can't listen on " + at.host + ":" + std::to_string(at.port) + ": " +
@@ -164,7 +164,7 @@
             call.taken.left -= now - std::min(around_.readAt, link.openSince);
             const Place place = link.queue.open();
             const CallTaken taken = call.taken;
-            const CallId id = book_.add(std::move(call), link.id, place, now);
+            const CallId id = book_.add(std::move(call), link.id, place);
             around_.happened.emplace_back(taken);
             std::get<CallTaken>(around_.happened.back()).call = id;
             ++around_.tally.callsTaken;
--- a/src/net/core/call_book.cpp
+++ b/src/net/core/call_book.cpp
@@ -24,12 +24,11 @@
     }
 }
 
-CallId CallBook::add(ApiCall call, ClientId client, Place place, Span now) {
+CallId CallBook::add(ApiCall call, ClientId client, Place place) {
     const CallId id{++last_};
     call.taken.call = id;
     bytes_ += call.body.size();
-    const Span until = now + call.taken.left;
-    calls_.emplace(id, InHand{std::move(call), client, place, until, 0});
+    calls_.emplace(id, InHand{std::move(call), client, place, 0});
     byClient_[client].insert(id);
     return id;
 }
--- a/src/net/core/call_book.hpp
+++ b/src/net/core/call_book.hpp
@@ -33,7 +33,6 @@
     ApiCall call;
     ClientId client;
     Place place;
-    Span until{};
     unsigned tries = 0;
 };
 
@@ -41,7 +40,7 @@
 /// that no answer is given twice and nothing is sent after it.
 class CallBook {
 public:
-    CallId add(ApiCall call, ClientId client, Place place, Span now);
+    CallId add(ApiCall call, ClientId client, Place place);
     InHand *find(CallId id);
     std::optional<InHand> end(CallId id);
     /// The client has gone: its calls end without an answer.
--- a/src/net/core/http.cpp
+++ b/src/net/core/http.cpp
@@ -19,13 +19,6 @@
            HTTP_PARSER_ERRNO(&parser_) == HPE_OK;
 }
 
-bool HttpAnswers::end() {
-    http_parser_settings told{};
-    told.on_message_complete = onWhole;
-    http_parser_execute(&parser_, &told, nullptr, 0);
-    return HTTP_PARSER_ERRNO(&parser_) == HPE_OK;
-}
-
 int HttpAnswers::onBody(http_parser *parser, const char *at, std::size_t size) {
     auto &self = *static_cast<HttpAnswers *>(parser->data);
     if (self.now_.body.size() + size > self.longestBody_) return 1;
--- a/src/net/core/http.hpp
+++ b/src/net/core/http.hpp
@@ -24,8 +24,6 @@
 
     /// False once the bytes are no HTTP or a body is too long: the connection is then of no more use.
     bool take(std::string_view bytes);
-    /// The connection has ended, which may be what ends an answer.
-    bool end();
 
 private:
     static int onBody(http_parser *parser, const char *at, std::size_t size);
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -28,7 +28,7 @@
       clients_(around_, book_, forConnections(start) * 3 / 5),
       workers_(
           around_, forConnections(start) * 2 / 5,
-          [this](CallId call, std::string_view value) { return answered(call, value); },
+          [this](CallId call, std::string_view value) { answered(call, value); },
           [this](CallId call) { return book_.find(call) == nullptr; }),
       counter_(around_),
       discovery_(around_,
@@ -81,7 +81,7 @@
     uv_prepare_start(before_.get(),
                      [](uv_prepare_t *handle) { static_cast<Gateway *>(handle->data)->wake(); });
     uv_check_start(after_.get(), [](uv_check_t *handle) { static_cast<Gateway *>(handle->data)->turn(); });
-    around_.log.info("serving on ", start.listen.host, ":", start.listen.port);
+    around_.log.info(start.name, " serving on ", start.listen.host, ":", start.listen.port);
     uv_run(around_.loop, UV_RUN_DEFAULT);
     around_.log.info("counters\n", around_.tally.text());
 }
@@ -136,12 +136,11 @@
         timer_.get(), [](uv_timer_t *) {}, left > 0 ? static_cast<std::uint64_t>((left + 999) / 1000) : 0, 0);
 }
 
-bool Gateway::answered(CallId call, std::string_view value) {
+void Gateway::answered(CallId call, std::string_view value) {
     const auto ended = book_.end(call);
-    if (!ended) return true;
+    if (!ended) return;
     ++around_.tally.proxied;
     clients_.answer(*ended, proxiedAnswer(value));
-    return true;
 }
 
 void Gateway::carry(const SendTry &action) {
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -38,7 +38,7 @@
     void handOver();
     void wake();
     void stop();
-    bool answered(CallId call, std::string_view value);
+    void answered(CallId call, std::string_view value);
 
     void carry(const SendTry &action);
     void carry(const RateLimit &action);
--- a/src/net/workers.cpp
+++ b/src/net/workers.cpp
@@ -13,6 +13,12 @@
 // may have run: ours are given back well before, in this part of the time.
 constexpr int idlePart = 2;
 
+const char *nameOf(Outcome outcome) {
+    static constexpr const char *names[] = {"answered",    "errored", "full",       "timed out",
+                                            "unconnected", "reset",   "called off", "not sent"};
+    return names[static_cast<std::size_t>(outcome)];
+}
+
 }  // namespace
 
 /// A try or a probe that is out.
@@ -249,11 +255,18 @@
         around_.happened.emplace_back(ProbeEnded{out.worker, outcome, took, load});
         return;
     }
+    if (outcome != Outcome::answered) {
+        const auto pool = pools_.find(out.worker);
+        const Address at = pool == pools_.end() ? Address{} : pool->second.address;
+        around_.log.debug("try at ", at.host, ":", at.port, " ended as ", nameOf(outcome), " after ",
+                          took.count() / 1000, " ms");
+    }
     TryEnded event{out.call, out.number, out.worker, outcome, took, false, {}, {}, load};
     if (outcome == Outcome::answered) {
         event.meteredShare = reply->meteredShare;
         event.trueUnits = reply->trueUnits;
-        event.callClosed = answered_(out.call, reply->value);
+        answered_(out.call, reply->value);
+        event.callClosed = true;
     } else {
         event.callClosed = isOver_(out.call);
     }
--- a/src/net/workers.hpp
+++ b/src/net/workers.hpp
@@ -18,8 +18,8 @@
 /// ends in one event, whatever becomes of its connection.
 class Workers {
 public:
-    /// Told of a good answer; says whether the API call is over.
-    using Answered = std::function<bool(CallId, std::string_view value)>;
+    /// Told of a good answer, which goes to the client by itself and ends the API call.
+    using Answered = std::function<void(CallId, std::string_view value)>;
     using IsOver = std::function<bool(CallId)>;
 
     Workers(Surroundings &around, std::size_t most, Answered answered, IsOver isOver);
--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -184,8 +184,8 @@
     CallBook book;
     ApiCall call;
     call.body = "12345";
-    const CallId one = book.add(call, {1}, {0}, {}), two = book.add(call, {1}, {1}, {}),
-                 other = book.add(call, {2}, {0}, {});
+    const CallId one = book.add(call, {1}, {0}), two = book.add(call, {1}, {1}),
+                 other = book.add(call, {2}, {0});
     CHECK(book.bytes() == 15);
     CHECK(book.end(one));
     CHECK(!book.end(one));
