Addresses are checked at the start; totals that are no numbers count as lost

Read, not met: a counter at a host name passed the start and threw in the first turn that called it (Stream::connect); a total of nan or inf reached the estimate (outcomeOf). Tests: rows of the start document, answers of the counter that make no sense (fails without the check).

--- a/src/net/core/start_document.cpp
+++ b/src/net/core/start_document.cpp
@@ -1,5 +1,7 @@
 #include "start_document.hpp"
 
+#include <arpa/inet.h>
+
 #include <charconv>
 #include <nlohmann/json.hpp>
 
@@ -33,7 +35,7 @@
 
 Address readAddress(std::string_view text, std::string_view whose) {
     const auto wrong = [&] {
-        return FactsError("'" + std::string(whose) + "' is '" + std::string(text) + "', not HOST:PORT");
+        return FactsError("'" + std::string(whose) + "' is '" + std::string(text) + "', not IPV4:PORT");
     };
     const auto colon = text.rfind(':');
     if (colon == std::string_view::npos || colon == 0) throw wrong();
@@ -41,7 +43,9 @@
     const auto port = text.substr(colon + 1);
     const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), address.port);
     const bool whole = error == std::errc{} && end == port.data() + port.size();
-    if (!whole || address.port < 1 || address.port > 65535) throw wrong();
+    in_addr literal{};
+    const bool known = ::inet_pton(AF_INET, address.host.c_str(), &literal) == 1;
+    if (!whole || !known || address.port < 1 || address.port > 65535) throw wrong();
     return address;
 }
 
--- a/src/net/core/targets.cpp
+++ b/src/net/core/targets.cpp
@@ -6,6 +6,8 @@
 namespace arrowstile {
 namespace {
 
+constexpr std::int64_t latestMs = 1ll << 50;  // far off, and no overflow in microseconds
+
 template <class Place>
 Place placeOf(const std::vector<std::string> &names, const std::string &name) {
     const auto found = std::find(names.begin(), names.end(), name);
@@ -44,7 +46,8 @@
             target.entry.cell.value = static_cast<std::uint16_t>(one.value("group", 0u));
             target.entry.state = stateOf(one.value("status", ""));
             target.entry.size = one.value("weight", 1.0);
-            target.entry.startedAt = std::chrono::milliseconds(one.value("since_ms", std::int64_t{0}));
+            const auto since = std::clamp<std::int64_t>(one.value("since_ms", std::int64_t{0}), 0, latestMs);
+            target.entry.startedAt = std::chrono::milliseconds(since);
             news.targets.push_back(std::move(target));
         }
     } catch (const json::exception &error) {
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 
 namespace arrowstile {
@@ -17,7 +18,7 @@
     if (answer.status != 200) return Outcome::connectFailed;  // no such call: nothing was added
     const char *end = answer.body.data() + answer.body.size();
     const auto [at, error] = std::from_chars(answer.body.data(), end, total);
-    return error == std::errc{} ? Outcome::answered : Outcome::reset;
+    return error == std::errc{} && std::isfinite(total) ? Outcome::answered : Outcome::reset;
 }
 
 }  // namespace
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -15,9 +15,7 @@
 
 sockaddr_in socketAddress(const Address &address) {
     sockaddr_in at{};
-    if (uv_ip4_addr(address.host.c_str(), address.port, &at) != 0) {
-        throw FactsError("'" + address.host + "' is no IPv4 address");
-    }
+    uv_ip4_addr(address.host.c_str(), address.port, &at);
     return at;
 }
 
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -72,7 +72,6 @@
     bool open_ = false, finishing_ = false, over_ = false;
 };
 
-/// Fills in a socket address; throws FactsError if the host is no IPv4 address.
 sockaddr_in socketAddress(const Address &address);
 
 }  // namespace arrowstile
--- a/src/net/workers.cpp
+++ b/src/net/workers.cpp
@@ -85,7 +85,6 @@
         if (!target.address.empty()) {
             try {
                 address = readAddress(target.address, "address of a worker");
-                socketAddress(address);
                 pool.reachable = true;
             } catch (const FactsError &error) {
                 around_.log.warning(error.what());
--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -264,6 +264,7 @@
         "{" + settings + "}",
         R"({"listen":5,)" + settings + "}",
         R"({"listen":"127.0.0.1","discovery":"127.0.0.1:2",)" + settings + "}",
+        R"({"listen":"localhost:1","discovery":"127.0.0.1:2",)" + settings + "}",
         R"({"listen":"127.0.0.1:99999","discovery":"127.0.0.1:2",)" + settings + "}",
         R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"xyz",)" + settings + "}",
         start + R"("settings":{"balancers":1,"rules":{},"classes":[{"effect":"odd"}]}})"};
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -283,6 +283,28 @@
     CHECK(!world.counter.accept(milliseconds(50)).open());
 }
 
+TEST_CASE("an answer of the counter that makes no sense does not shut a customer out") {
+    for (const char *body : {"nan", "1e999", "", "HTTP"}) {
+        CAPTURE(body);
+        World world;
+        const Socket client = world.ready();
+        client.write(call("status", 1000));
+        const Socket link = world.worker.accept(), count = world.counter.accept();
+        count.read("\r\n\r\n");
+        count.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(std::string(body).size()) +
+                    "\r\n\r\n" + body);
+        link.read("first=0\r\n");
+        link.write(proxied);
+        CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+        client.write(call("status", 1000));
+        CHECK(link.read("first=0\r\n").find("Q.ASK") != std::string::npos);
+        link.write(proxied);
+        CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+        client.write("*1\r\n$4\r\nINFO\r\n");
+        CHECK(client.read("peer_messages_out:0").find("counts_lost:1\r\n") != std::string::npos);
+    }
+}
+
 TEST_CASE("a late answer of the counter still tells: what it turned away is added again") {
     World world;
     const Socket client = world.ready();
