--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -349,6 +349,26 @@
     CHECK(came == pongs);
 }
 
+TEST_CASE("a client that is slow to read holds up nobody else and still gets every answer") {
+    World world;
+    const Socket other = world.ready(), slow = world.client();
+    constexpr std::size_t asked = 20000;
+    std::thread writer([&] {
+        std::string text;
+        for (std::size_t left = asked; left > 0; --left) text += "*1\r\n$4\r\nINFO\r\n";
+        slow.write(text);  // stands still once the gatekeeper has stopped reading
+    });
+    std::this_thread::sleep_for(milliseconds(300));
+    other.write("*1\r\n$4\r\nPING\r\n");
+    CHECK(other.read() == "+PONG\r\n");
+    std::string came;
+    while (slow.ready(milliseconds(1000))) came += slow.read("\n");
+    writer.join();
+    std::size_t answers = 0;
+    for (std::size_t at = 0; (at = came.find("peer_messages_out", at)) != std::string::npos; ++at) ++answers;
+    CHECK(answers == asked);
+}
+
 TEST_CASE("not ready before discovery has spoken; bad commands get a plain error") {
     World world;
     const Socket early = world.client();
