Discovery that no longer knows our version is asked for the whole list

Read, not met: a 4xx to a watch was answered by the same watch again for ever (Discovery::hear). Test: bad answers of discovery, one row each, after which the list from before still stands.

--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -45,6 +45,7 @@
     const Address &at = around_.start.discovery;
     std::string target = "/api/targets";
     const bool watch = hasList_ && !wholeWanted_;
+    askedWhole_ = !watch;
     if (watch) {
         target += "?since=" + std::to_string(version_) +
                   "&timeout_ms=" + std::to_string((told_ ? wait : firstWait).count() / 1000);
@@ -70,12 +71,14 @@
     around_.alarms.clear(alarm_);
     out_ = false;
     broken_ = broken_ || !answer.keepsOpen || answer.status != 200;
+    // It may no longer know the version that we ask from: then only a whole list helps.
+    if (answer.status / 100 == 4) wholeWanted_ = true;
     if (answer.status != 200) return;
     try {
         const TargetNews news = reader_.read(answer.body);
         version_ = news.version;
         hasList_ = told_ = true;
-        if (news.whole) wholeWanted_ = false;
+        if (askedWhole_) wholeWanted_ = false;
         ++around_.tally.lists;
         if (!broken_) call();  // the next watch first: what is told between two counts as told
         heard_(news, news.whole ? ListNews::full : ListNews::changes);
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -37,8 +37,8 @@
     Stream::Ptr stream_;
     Alarms::Key alarm_{};
     std::uint64_t version_ = 0;
-    bool hasList_ = false, told_ = false, following_ = false, wholeWanted_ = false, open_ = false,
-         out_ = false, broken_ = false;
+    bool hasList_ = false, told_ = false, following_ = false, wholeWanted_ = false, askedWhole_ = false,
+         open_ = false, out_ = false, broken_ = false;
 };
 
 }  // namespace arrowstile
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -335,6 +335,28 @@
     CHECK(!link.ready(milliseconds(50)));
 }
 
+TEST_CASE("discovery that answers badly is asked again, for the whole list where it does not know ours") {
+    struct Row {
+        const char *answer, *next;
+    };
+    const Row rows[] = {
+        {"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n", "GET /api/targets HTTP/1.1"},
+        {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "GET /api/targets?since=1&"},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", "GET /api/targets?since=1&"},
+        {"nonsense\r\n\r\n", "GET /api/targets?since=1&"},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.answer);
+        World world;
+        world.watch.write(row.answer);
+        world.watch = world.discovery.accept();
+        CHECK(world.watch.read("\r\n\r\n").starts_with(row.next));
+        const Socket client = world.ready();
+        client.write(call("status", 1000));
+        CHECK(world.worker.accept().open());  // the list from before still stands
+    }
+}
+
 TEST_CASE("what waits in the buffer of a connection that was not read for a while is answered too") {
     World world;
     const Socket client = world.ready();
