--- a/src/main.cpp
+++ b/src/main.cpp
@@ -40,11 +40,12 @@
 int main() {
     std::ios::sync_with_stdio(false);
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN);  // until there is a loop that can take it
     try {
-        const arrowstile::StartDocument start = readStartFile();
+        arrowstile::StartDocument start = readStartFile();
         arrowstile::Log log(std::cout, levelOf(std::getenv("ARROWSTILE_LOG")));
         Loop loop;
-        arrowstile::Gateway(&loop.loop, start, log).run();
+        arrowstile::Gateway(&loop.loop, std::move(start), log, readStartFile).run();
         return 0;
     } catch (const std::exception &error) {
         std::cerr << "arrowstile: " << error.what() << std::endl;
--- a/src/net/core/start_document.cpp
+++ b/src/net/core/start_document.cpp
@@ -65,7 +65,8 @@
         start.seed = readSeed(all);
         start.sockets = all.value("limits", json::object()).value("sockets", start.sockets);
         if (all.contains("known") && all.at("known").is_object()) start.known = all.at("known").dump();
-        start.site = readSite(all.at("settings").dump());
+        start.settings = all.at("settings").dump();
+        start.site = readSite(start.settings);
     } catch (const json::exception &error) {
         throw FactsError(std::string("start document: ") + error.what());
     }
--- a/src/net/core/start_document.hpp
+++ b/src/net/core/start_document.hpp
@@ -26,7 +26,8 @@
     std::vector<Address> peers;
     std::uint64_t seed = 0;
     unsigned sockets = 1024;
-    std::string known;  ///< the list of workers as last seen, empty if there is none
+    std::string settings;  ///< as they were written, to tell whether they changed
+    std::string known;     ///< the list of workers as last seen, empty if there is none
     Site site;
 };
 
--- a/src/net/core/tally.cpp
+++ b/src/net/core/tally.cpp
@@ -28,6 +28,7 @@
         {"counter_connections", counterConnections},
         {"lists", lists},
         {"watches", watches},
+        {"reloads", reloads},
         {"peer_messages_in", peerMessagesIn},
         {"peer_messages_out", peerMessagesOut},
     };
--- a/src/net/core/tally.hpp
+++ b/src/net/core/tally.hpp
@@ -13,6 +13,7 @@
     std::uint64_t triesUnconnected = 0, triesReset = 0, triesCalledOff = 0, triesNotSent = 0;
     std::uint64_t workerConnections = 0, countsSent = 0, countsAnswered = 0, countsLost = 0;
     std::uint64_t counterConnections = 0, lists = 0, watches = 0, peerMessagesIn = 0, peerMessagesOut = 0;
+    std::uint64_t reloads = 0;
 
     /// One "name:value" a line.
     std::string text() const;
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -39,8 +39,9 @@
 
     std::size_t onBytes(std::string_view bytes) override {
         const bool sound = answers.take(bytes) && !closes;
-        if (!sound) all.drop(*this, true);
-        return sound ? bytes.size() : 0;
+        if (sound && (busy || !retired)) return bytes.size();
+        all.drop(*this, true);
+        return 0;
     }
 
     void onClosed() override { all.drop(*this, false); }
@@ -62,7 +63,7 @@
     Span sentAt{}, idleSince{};
     Alarms::Key gives{};
     std::uint64_t written = 0;
-    bool open = false, busy = false, late = false, closes = false;
+    bool open = false, busy = false, late = false, closes = false, retired = false;
 };
 
 Counter::Counter(Surroundings &around) : around_(around) {
@@ -111,6 +112,11 @@
     if (link->open) unflushed_.insert(link);
 }
 
+void Counter::move() {
+    std::erase_if(links_, [](const auto &one) { return !one->busy || one->late; });
+    for (const auto &link : links_) link->retired = true;
+}
+
 Counter::Link *Counter::connect() {
     if (!around_.start.counter) return nullptr;
     auto made = std::make_unique<Link>(*this);
--- a/src/net/counter.hpp
+++ b/src/net/counter.hpp
@@ -19,6 +19,8 @@
 
     void add(const AddCount &action);
     void flush();
+    /// The address has changed: calls under way end on their connections, which then are given back.
+    void move();
 
 private:
     struct Link;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -32,6 +32,13 @@
     call();
 }
 
+void Discovery::move() {
+    around_.alarms.clear(alarm_);
+    stream_.reset();
+    out_ = told_ = false;
+    fetch();
+}
+
 void Discovery::call() {
     if (out_ || (!following_ && !wholeWanted_)) return;
     if (!stream_) {
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -20,6 +20,8 @@
     void known(std::string_view list);
     void follow(bool on);
     void fetch();
+    /// The address has changed: versions of the old place may mean nothing there, so all is asked for.
+    void move();
 
 private:
     std::size_t onBytes(std::string_view bytes) override;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -22,12 +22,13 @@
 
 }  // namespace
 
-Gateway::Gateway(uv_loop_t *loop, const StartDocument &start, Log &log)
-    : around_{loop, start, log, {}, {}, {}, {}, {}},
-      keeper_(start.site.facts, start.seed),
-      clients_(around_, book_, forConnections(start) * 3 / 5),
+Gateway::Gateway(uv_loop_t *loop, StartDocument start, Log &log, std::function<StartDocument()> reread)
+    : around_{loop, std::move(start), log, {}, {}, {}, {}, {}},
+      reread_(std::move(reread)),
+      keeper_(around_.start.site.facts, around_.start.seed),
+      clients_(around_, book_, forConnections(around_.start) * 3 / 5),
       workers_(
-          around_, forConnections(start) * 2 / 5,
+          around_, forConnections(around_.start) * 2 / 5,
           [this](CallId call, std::string_view value) { answered(call, value); },
           [this](CallId call) { return book_.find(call) == nullptr; }),
       counter_(around_),
@@ -45,12 +46,13 @@
       timer_(new uv_timer_t),
       terminated_(new uv_signal_t),
       interrupted_(new uv_signal_t),
-      asked_(new uv_signal_t) {
+      asked_(new uv_signal_t),
+      renewed_(new uv_signal_t) {
     uv_prepare_init(loop, before_.get());
     uv_check_init(loop, after_.get());
     uv_timer_init(loop, timer_.get());
     before_->data = after_->data = timer_->data = this;
-    for (auto *signal : {terminated_.get(), interrupted_.get(), asked_.get()}) {
+    for (auto *signal : {terminated_.get(), interrupted_.get(), asked_.get(), renewed_.get()}) {
         uv_signal_init(loop, signal);
         signal->data = this;
     }
@@ -70,6 +72,9 @@
             around.log.info("counters\n", around.tally.text());
         },
         SIGUSR1);
+    uv_signal_start(
+        renewed_.get(), [](uv_signal_t *signal, int) { static_cast<Gateway *>(signal->data)->reload(); },
+        SIGHUP);
     clients_.listen(start.listen);
     peers_.listen();
     if (!start.known.empty()) {
@@ -91,6 +96,30 @@
     clients_.leave();
 }
 
+/// Takes up the addresses of a new start document. Whatever is under way ends where it began; a document that
+/// can't be used changes nothing.
+void Gateway::reload() {
+    try {
+        StartDocument fresh = reread_();
+        StartDocument &start = around_.start;
+        if (fresh.listen != start.listen || fresh.peerListen != start.peerListen ||
+            fresh.sockets != start.sockets || fresh.settings != start.settings) {
+            around_.log.warning("reload: listen addresses, limits and settings change with a restart only");
+        }
+        const bool discovery = fresh.discovery != start.discovery, counter = fresh.counter != start.counter;
+        start.discovery = fresh.discovery;
+        start.counter = fresh.counter;
+        start.peers = std::move(fresh.peers);
+        start.peersAll = fresh.peersAll;
+        if (counter) counter_.move();
+        if (discovery) discovery_.move();
+        ++around_.tally.reloads;
+        around_.log.info("reloaded");
+    } catch (const FactsError &error) {
+        around_.log.error("reload: ", error.what(), "; all stays as it was");
+    }
+}
+
 /// Comes after the sockets were read: an answer that was there in time is not given up by an alarm, however
 /// long the machine stood still.
 void Gateway::turn() {
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <arrowstile/gatekeeper.hpp>
+#include <functional>
 #include <memory>
 
 #include "clients.hpp"
@@ -17,7 +18,8 @@
 /// comes back.
 class Gateway {
 public:
-    Gateway(uv_loop_t *loop, const StartDocument &start, Log &log);
+    /// `reread` is asked for the start document again on SIGHUP; it throws FactsError if that can't be used.
+    Gateway(uv_loop_t *loop, StartDocument start, Log &log, std::function<StartDocument()> reread);
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
     ~Gateway();
@@ -38,6 +40,7 @@
     void handOver();
     void wake();
     void stop();
+    void reload();
     void answered(CallId call, std::string_view value);
 
     void carry(const SendTry &action);
@@ -54,6 +57,7 @@
     void carry(const Note &action) { around_.log.info(action.text); }
 
     Surroundings around_;
+    std::function<StartDocument()> reread_;
     Gatekeeper keeper_;
     CallBook book_;
     Clients clients_;
@@ -68,7 +72,7 @@
     std::unique_ptr<uv_prepare_t, Closing> before_;
     std::unique_ptr<uv_check_t, Closing> after_;
     std::unique_ptr<uv_timer_t, Closing> timer_;
-    std::unique_ptr<uv_signal_t, Closing> terminated_, interrupted_, asked_;
+    std::unique_ptr<uv_signal_t, Closing> terminated_, interrupted_, asked_, renewed_;
 };
 
 }  // namespace arrowstile
--- a/src/net/surroundings.hpp
+++ b/src/net/surroundings.hpp
@@ -16,7 +16,7 @@
 /// What every adapter works with; the gateway owns it and outlives them.
 struct Surroundings {
     uv_loop_t *loop;
-    const StartDocument &start;
+    StartDocument start;  ///< of the addresses in it the latest, the rest as it was at the start
     Log &log;
     Clock clock;
     Alarms alarms;
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -123,7 +123,10 @@
             uv_loop_init(&loop);
             {
                 Log log(said, Log::Level::info);
-                Gateway(&loop, start, log).run();
+                Gateway(&loop, start, log, [this] {
+                    if (renewed) return *renewed;
+                    throw FactsError("no document");
+                }).run();
             }
             uv_run(&loop, UV_RUN_DEFAULT);
             left = uv_loop_close(&loop);
@@ -133,10 +136,13 @@
         watch.read("\r\n\r\n");
     }
     ~World() {
-        stop();
-        thread.join();
+        ended();
         CHECK(left == 0);  // nothing is still open on the loop
     }
+    void ended() {
+        stop();
+        if (thread.joinable()) thread.join();
+    }
     void stop() {
         if (!std::exchange(stopped, true)) ::kill(::getpid(), SIGTERM);
     }
@@ -162,6 +168,7 @@
            watch;
     int port = 0, left = -1;
     StartDocument start;
+    std::optional<StartDocument> renewed;  // what a SIGHUP finds
     std::ostringstream said;
     std::atomic<bool> over = false;
     bool stopped = false;
@@ -318,6 +325,40 @@
     CHECK(!count.ready(milliseconds(100)));
 }
 
+TEST_CASE("a reload moves discovery and counter; what is under way ends where it began, once") {
+    World world;
+    const Socket client = world.ready();
+    client.write(call("status", 1000));
+    const Socket link = world.worker.accept(), count = world.counter.accept();
+    count.read("\r\n\r\n");
+    link.read("first=0\r\n");
+    ::kill(::getpid(), SIGHUP);  // there is no document: all stays
+    std::this_thread::sleep_for(milliseconds(50));
+    CHECK(!world.watch.ready(milliseconds(0)));
+    const Socket discovery = Socket::listening(), counter = Socket::listening();
+    world.renewed = world.start;
+    world.renewed->discovery.port = discovery.port();
+    world.renewed->counter->port = counter.port();
+    ::kill(::getpid(), SIGHUP);
+    const Socket watch = discovery.accept();
+    CHECK(watch.read("\r\n\r\n").starts_with("GET /api/targets HTTP"));
+    CHECK(world.watch.read("x") == "<closed>");
+    count.write("HTTP/1.1 200 OK\r\nContent-Le");
+    CHECK(!counter.accept(milliseconds(30)).open());  // half an answer is none yet
+    count.write("ngth: 1\r\n\r\n1");
+    CHECK(count.read("x") == "<closed>");
+    link.write(proxied);
+    CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+    client.write(call("status", 1000));
+    CHECK(counter.accept().read("\r\n\r\n").find("?delta=1&") != std::string::npos);
+    link.read("first=0\r\n");
+    world.stop();  // and a planned stop may follow
+    link.write(proxied);
+    CHECK(client.read("x") == "$2\r\nhi\r\n<closed>");
+    world.ended();
+    CHECK(world.said.str().find("error reload: no document; all stays as it was\n") != std::string::npos);
+}
+
 TEST_CASE("after a stop of the machine what came in time counts, and what is too old is not sent on") {
     World world;
     const Socket client = world.ready();
