--- a/src/facts/facts_json.cpp
+++ b/src/facts/facts_json.cpp
@@ -84,7 +84,7 @@
     const json family = part(all, "familyInfo");
     facts.mayCount = family.value("mayCount", false);
     facts.unitsSettled = family.value("truedUp", false);
-    facts.mostUnits = family.value("largest", 1.0);
+    facts.mostUnits = family.value("largest", 1e9);
     facts.countTimeout = milliseconds(family, "countLimitMs");
     facts.countPrice = family.value("counterPrice", 0.0);
     facts.meterPeriod = milliseconds(family, "usePeriodMs");
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -11,24 +11,30 @@
 // Of a connection: commands that wait for an answer, and bytes that its reader leaves with us. Past them we
 // stop reading it, so that neither a flood nor a slow reader takes the memory of all.
 constexpr std::size_t mostWaiting = 512, mostUnsent = 256 * 1024, leastUnsent = 64 * 1024;
-// Beyond these a connection is closed: a command that never ends, answers that nobody fetches. Of all
-// connections together, the bodies kept and the answers left with us.
-constexpr std::size_t longestCommand = resp::longestValue + 8 * 1024, mostLeft = 2 * 1024 * 1024;
-constexpr std::size_t mostBodies = 32 * 1024 * 1024, mostLeftByAll = 32 * 1024 * 1024;
+// Beyond it a connection is closed: a command that never ends.
+constexpr std::size_t longestCommand = resp::longestValue + 8 * 1024, leastBegun = 1024;
+// A connection that never sent a good command, and one with a command begun, get so long; the reader of an
+// error so long to fetch it before the rest of what it sends is cut off.
+constexpr Span sweepEvery = milliseconds(250), patience = milliseconds(2000), lastWord = milliseconds(300);
 // A planned stop: new connections go on coming for a while; one closed before then would only come back.
 constexpr Span stillComing = milliseconds(500), noneCame = milliseconds(200), lookAgain = milliseconds(20);
 // A client that was told of the end and keeps its side open is not waited for any longer; and the whole stop
 // ends before the kill, which comes 0.7 s after the longest patience at the soonest.
-constexpr Span lastWord = milliseconds(300), leastPatience = milliseconds(3000),
-               afterPatience = milliseconds(550);
+constexpr Span leastPatience = milliseconds(3000), afterPatience = milliseconds(550);
 
 }  // namespace
 
 struct Clients::Link final : Stream::Holder {
     Link(Clients &clients, ClientId number, Span now)
-        : all(clients), id(number), lastUsed(now), openSince(clients.around_.readAt) {}
+        : all(clients), id(number), lastUsed(now), openSince(clients.around_.readAt) {
+        ++all.strangers_;
+    }
 
-    ~Link() { all.left_ -= counted; }
+    ~Link() {
+        all.left_ -= counted;
+        all.begun_ -= begun;
+        all.strangers_ -= stranger;
+    }
 
     std::size_t onBytes(std::string_view bytes) override {
         std::size_t used = 0;
@@ -41,7 +47,7 @@
                 ++all.around_.tally.badCommands;
                 say("-ERR Protocol error\r\n");
                 ending = true;
-                return bytes.size();
+                break;
             }
             used += command.used;
             lastUsed = all.around_.clock.now();
@@ -49,8 +55,26 @@
             holdBack();
         }
         openSince = Span::max();
-        partial = used < bytes.size();
-        return ending ? bytes.size() : used;
+        if (ending) {
+            stream->pause(true);  // an error needs none of what may still come
+            used = bytes.size();
+        }
+        const std::size_t rest = paused ? 0 : bytes.size() - used;
+        if (begun == 0 && rest > 0) lastUsed = all.around_.clock.now();
+        all.begun_ += rest - begun;
+        begun = rest;
+        return used;
+    }
+
+    /// Has sent a command that makes sense.
+    void known() {
+        if (std::exchange(stranger, false)) --all.strangers_;
+    }
+
+    /// Whether it has kept us waiting too long, with nothing to wait for on our side.
+    bool overdue(Span now) const {
+        if (finished) return now - lastUsed > lastWord;
+        return (stranger || begun > 0) && queue.waiting() == 0 && now - lastUsed > patience;
     }
 
     void onDrained() override {
@@ -79,7 +103,7 @@
         stream->finish();
     }
 
-    bool idle() const { return queue.waiting() == 0 && stream->unsent() == 0 && !partial; }
+    bool idle() const { return queue.waiting() == 0 && stream->unsent() == 0 && begun == 0; }
 
     void holdBack() {
         const bool full = queue.waiting() >= mostWaiting || stream->unsent() >= mostUnsent;
@@ -94,8 +118,8 @@
     Stream::Ptr stream;
     AnswerQueue queue;
     Span lastUsed, openSince;  ///< the second until something was read
-    std::size_t counted = 0;
-    bool paused = false, partial = false, ending = false, finished = false;
+    std::size_t counted = 0, begun = 0;
+    bool stranger = true, paused = false, ending = false, finished = false;
 };
 
 void Clients::CloseListener::operator()(uv_tcp_t *listener) const {
@@ -103,8 +127,9 @@
              [](uv_handle_t *handle) { delete reinterpret_cast<uv_tcp_t *>(handle); });
 }
 
-Clients::Clients(Surroundings &around, CallBook &book, std::size_t most)
-    : around_(around), book_(book), most_(most) {}
+Clients::Clients(Surroundings &around, CallBook &book) : around_(around), book_(book) {
+    around_.alarms.set(around_.clock.now() + sweepEvery, [this] { sweep(); });
+}
 
 Clients::~Clients() = default;
 
@@ -126,16 +151,40 @@
     }
 }
 
-/// At the most that the limit on sockets leaves us, the one that has been idle longest makes room.
+/// A crowd that connects and says nothing pushes out its own, not the connections of usual clients; beyond
+/// all of them the one that has been idle longest makes room.
 bool Clients::makeRoom() {
-    if (links_.size() < most_) return true;
-    const auto oldest = std::ranges::min_element(
-        links_, {}, [](const auto &one) { return std::pair(!one.second->idle(), one.second->lastUsed); });
-    if (oldest == links_.end() || !oldest->second->idle()) return false;
+    if (strangers_ >= around_.bounds.strangers && letGo(true)) return true;
+    return links_.size() < around_.bounds.clients || letGo(false);
+}
+
+/// Lets the one go that was used last of all, unless a command of it already waits to be read.
+bool Clients::letGo(bool strangersOnly) {
+    auto oldest = links_.end();
+    for (auto at = links_.begin(); at != links_.end(); ++at) {
+        const Link &link = *at->second;
+        if (strangersOnly ? !link.stranger || link.queue.waiting() > 0 : !link.idle()) continue;
+        const bool older = oldest == links_.end() || link.lastUsed < oldest->second->lastUsed;
+        if (older && !link.stream->hasNews()) oldest = at;
+    }
+    if (oldest == links_.end()) return false;
+    ++around_.tally.clientsLetGo;
     links_.erase(oldest);
     return true;
 }
 
+void Clients::sweep() {
+    const Span now = around_.clock.now();
+    around_.alarms.set(now + sweepEvery, [this] { sweep(); });
+    std::vector<ClientId> overdue;
+    for (const auto &[id, link] : links_)
+        if (link->overdue(now)) overdue.push_back(id);
+    for (const ClientId id : overdue) {
+        ++around_.tally.clientsLetGo;
+        end(id);
+    }
+}
+
 void Clients::accept() {
     const bool room = makeRoom();
     const ClientId id{++lastId_};
@@ -151,8 +200,10 @@
     const std::string_view verb = command.words[0];
     if (isApiCall(verb)) {
         ApiCall call;
-        const auto wrong = readApiCall(command, around_.start.site, call);
-        if (wrong.empty() && book_.bytes() + call.body.size() > mostBodies) {
+        auto wrong = readApiCall(command, around_.start.site, call);
+        if (wrong.empty() && book_.holds(call.id)) wrong = "this id is open";
+        if (wrong.empty()) link.known();
+        if (wrong.empty() && book_.bytes() + call.body.size() > around_.bounds.pool) {
             ++around_.tally.rateLimited;
             link.say(rateLimitAnswer(std::nullopt));
             return;
@@ -173,8 +224,10 @@
         ++around_.tally.badCommands;
         link.say("-ERR " + std::string(wrong) + "\r\n");
     } else if (verb == "PING") {
+        link.known();
         link.say(ready_ ? "+PONG\r\n" : "-LOADING not ready yet\r\n");
     } else if (verb == "INFO") {
+        link.known();
         link.say(proxiedAnswer(around_.tally.text()));
     } else {
         ++around_.tally.badCommands;
@@ -200,7 +253,7 @@
         link.stream->flush();
         link.holdBack();
         const std::size_t left = link.left();
-        if (left > mostLeft || (left_ > mostLeftByAll && left > leastUnsent)) {
+        if (left > around_.bounds.leftByOne || (left_ > around_.bounds.pool && left > leastUnsent)) {
             around_.log.warning("a client that does not fetch its answers is let go");
             end(id);
             continue;
@@ -208,6 +261,16 @@
         if (link.queue.waiting() == 0 && (link.ending || (closing_ && link.idle())))
             link.finish(around_.clock.now());
     }
+    while (begun_ > around_.bounds.pool) endLongestBegun();
+}
+
+/// Of half commands the one that is waited for longest makes room for the others.
+void Clients::endLongestBegun() {
+    const auto longest = std::ranges::min_element(links_, {}, [](const auto &one) {
+        return std::pair(one.second->begun <= leastBegun, one.second->lastUsed);
+    });
+    ++around_.tally.clientsLetGo;
+    end(longest->first);
 }
 
 void Clients::end(ClientId id) {
@@ -228,16 +291,16 @@
     const Span now = around_.clock.now();
     closing_ = true;
     if (now - cameAt_ > noneCame) listener_.reset();
-    Span patience = leastPatience;
+    Span longest = leastPatience;
     for (const Route &route : around_.start.site.facts.routes)
-        patience = std::max(patience, route.clientTimeout);
+        longest = std::max(longest, route.clientTimeout);
     std::erase_if(links_, [&](const auto &one) {
         Link &link = *one.second;
         if (link.finished) return link.queue.waiting() == 0 && now - link.lastUsed > lastWord;
         if (link.idle()) link.finish(now);
         return false;
     });
-    if (now - leftAt_ > patience + afterPatience) {
+    if (now - leftAt_ > longest + afterPatience) {
         listener_.reset();
         links_.clear();
     }
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -13,7 +13,7 @@
 /// The side that faces clients: takes API calls off their connections and writes the answers in order.
 class Clients {
 public:
-    Clients(Surroundings &around, CallBook &book, std::size_t most);
+    Clients(Surroundings &around, CallBook &book);
     ~Clients();
 
     /// Throws FactsError if the address can't be listened on.
@@ -33,15 +33,17 @@
 
     void accept();
     bool makeRoom();
+    bool letGo(bool strangersOnly);
+    void sweep();
+    void endLongestBegun();
     void obey(Link &link, const resp::Command &command);
     void end(ClientId id);
     void leaveOn();
 
     Surroundings &around_;
     CallBook &book_;
-    const std::size_t most_;
     std::unique_ptr<uv_tcp_t, CloseListener> listener_;
-    std::size_t left_ = 0;
+    std::size_t left_ = 0, begun_ = 0, strangers_ = 0;
     std::map<ClientId, std::unique_ptr<Link>> links_;
     std::set<ClientId> unflushed_;
     std::uint64_t lastId_ = 0;
--- a/src/net/core/api_call.cpp
+++ b/src/net/core/api_call.cpp
@@ -10,7 +10,6 @@
 constexpr std::string_view askVerb = "Q.ASK", doVerb = "Q.DO";
 constexpr std::uint64_t customersEnd = 1ull << 33;
 constexpr double longestWaitMs = 3600e3;
-constexpr double mostUnits = 1e9;
 
 bool readHex(std::string_view text, std::uint64_t &value) {
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, 16);
@@ -22,9 +21,9 @@
     return error == std::errc{} && end == text.data() + text.size() && value >= least && value <= most;
 }
 
-bool readSmall(std::string_view text, unsigned &value) {
+bool readWhole(std::string_view text, unsigned least, unsigned most, unsigned &value) {
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    return error == std::errc{} && end == text.data() + text.size() && value <= 65535;
+    return error == std::errc{} && end == text.data() + text.size() && value >= least && value <= most;
 }
 
 template <class Place>
@@ -66,11 +65,12 @@
             call.after = list.substr(end);
             hasPatience = true;
         } else if (name == "units") {
-            if (!readReal(value, 0, mostUnits, call.taken.units)) return "bad units";
+            if (!readReal(value, 0, site.facts.mostUnits, call.taken.units) || call.taken.units <= 0)
+                return "bad units";
         } else if (name == "spread") {
-            if (!readSmall(value, call.taken.gateways)) return "bad spread";
+            if (!readWhole(value, 1, site.facts.gateways, call.taken.gateways)) return "bad spread";
         } else if (name == "first") {
-            if (!readSmall(value, call.taken.firstGateway)) return "bad first";
+            if (!readWhole(value, 0, site.facts.gateways - 1, call.taken.firstGateway)) return "bad first";
         } else if (name == "r") {
             call.taken.clientRepeat = value == "1";
         }
@@ -79,6 +79,8 @@
     if (!hasRoute) return "no class";
     if (!hasPlan) return "no plan";
     if (!hasPatience) return "no time";
+    const bool asks = site.facts.routes[call.taken.route.value].effect == Effect::idempotent;
+    if (asks != (words[0] == askVerb)) return "wrong command for this class";
     call.verb = words[0];
     call.customer = words[1];
     call.id = words[2];
--- /dev/null
+++ b/src/net/core/bounds.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstddef>
+
+namespace arrowstile {
+
+/// What this gatekeeper may hold at once. All of it follows from the descriptors and the memory that the
+/// start document states, so that the smallest machine is safe and the largest is used.
+struct Bounds {
+    Bounds(unsigned sockets, unsigned memoryMb);
+
+    std::size_t clients, strangers;  ///< connections; of them those that never sent a good command
+    std::size_t workers, counters;   ///< connections
+    std::size_t pool;                ///< bytes: for bodies kept, for answers not fetched, for commands begun
+    std::size_t leftByOne;           ///< bytes that one client may leave with us
+};
+
+}  // namespace arrowstile
--- a/src/net/core/call_book.cpp
+++ b/src/net/core/call_book.cpp
@@ -28,6 +28,7 @@
     const CallId id{++last_};
     call.taken.call = id;
     bytes_ += call.body.size();
+    names_.insert(call.id);
     calls_.emplace(id, InHand{std::move(call), client, place, 0});
     byClient_[client].insert(id);
     return id;
@@ -44,6 +45,7 @@
     InHand ended = std::move(found->second);
     calls_.erase(found);
     bytes_ -= ended.call.body.size();
+    names_.erase(ended.call.id);
     const auto client = byClient_.find(ended.client);
     client->second.erase(id);
     if (client->second.empty()) byClient_.erase(client);
--- a/src/net/core/call_book.hpp
+++ b/src/net/core/call_book.hpp
@@ -42,6 +42,8 @@
 public:
     CallId add(ApiCall call, ClientId client, Place place);
     InHand *find(CallId id);
+    /// Whether a call with this id of its client is open.
+    bool holds(const std::string &name) const { return names_.contains(name); }
     std::optional<InHand> end(CallId id);
     /// The client has gone: its calls end without an answer.
     std::vector<CallId> drop(ClientId client);
@@ -52,6 +54,7 @@
 private:
     std::map<CallId, InHand> calls_;
     std::map<ClientId, std::set<CallId>> byClient_;
+    std::set<std::string> names_;
     std::uint64_t last_ = 0;
     std::size_t bytes_ = 0;
 };
--- a/src/net/core/start_document.cpp
+++ b/src/net/core/start_document.cpp
@@ -63,7 +63,9 @@
             start.peers.push_back(readAddress(peer.get<std::string>(), "peers"));
         }
         start.seed = readSeed(all);
-        start.sockets = all.value("limits", json::object()).value("sockets", start.sockets);
+        const json limits = all.value("limits", json::object());
+        start.sockets = limits.value("sockets", start.sockets);
+        start.memoryMb = limits.value("memory_mb", start.memoryMb);
         if (all.contains("known") && all.at("known").is_object()) start.known = all.at("known").dump();
         start.settings = all.at("settings").dump();
         start.site = readSite(start.settings);
--- a/src/net/core/start_document.hpp
+++ b/src/net/core/start_document.hpp
@@ -25,7 +25,7 @@
     std::optional<Address> counter, peerListen, peersAll;
     std::vector<Address> peers;
     std::uint64_t seed = 0;
-    unsigned sockets = 1024;
+    unsigned sockets = 1024, memoryMb = 192;
     std::string settings;  ///< as they were written, to tell whether they changed
     std::string known;     ///< the list of workers as last seen, empty if there is none
     Site site;
--- a/src/net/core/tally.cpp
+++ b/src/net/core/tally.cpp
@@ -6,6 +6,7 @@
     const std::pair<const char *, std::uint64_t> lines[] = {
         {"clients_accepted", clientsAccepted},
         {"clients_turned_away", clientsTurnedAway},
+        {"clients_let_go", clientsLetGo},
         {"bad_commands", badCommands},
         {"calls_taken", callsTaken},
         {"calls_proxied", proxied},
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -10,7 +10,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t mostLinks = 31, longestTotal = 256;
+constexpr std::size_t longestTotal = 256;
 constexpr Span sweepEvery = milliseconds(500), idleMost = milliseconds(4000);
 
 /// An answer with no number in it still says that the call had its turn: the amount was added.
@@ -85,7 +85,7 @@
         std::rotate(free.base() - 1, free.base(), links_.end());
         link = links_.back().get();
     } else {
-        if (links_.size() >= mostLinks) {
+        if (links_.size() >= around_.bounds.counters) {
             const auto oldest = std::ranges::min_element(
                 links_, {}, [](const auto &one) { return std::pair(!one->late, one->sentAt); });
             drop(**oldest, false);
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -8,28 +8,20 @@
 
 using std::chrono::milliseconds;
 
-// Descriptors beside connections: loop, signals, listener, discovery, peers, standard streams, some to spare.
-constexpr std::size_t spareSockets = 48, counterSockets = 32;
 // A start is ready with discovery's first answer; with a list from before, no later than this.
 constexpr Span readyMost = milliseconds(1000);
 constexpr int mostRounds = 8;
 constexpr Span oversleep = milliseconds(5);
 
-std::size_t forConnections(const StartDocument &start) {
-    const std::size_t kept = spareSockets + counterSockets;
-    return start.sockets > 2 * kept ? start.sockets - kept : kept;
-}
-
 }  // namespace
 
 Gateway::Gateway(uv_loop_t *loop, StartDocument start, Log &log, std::function<StartDocument()> reread)
-    : around_{loop, std::move(start), log, {}, {}, {}, {}, {}},
+    : around_{.loop = loop, .start = std::move(start), .log = log},
       reread_(std::move(reread)),
       keeper_(around_.start.site.facts, around_.start.seed),
-      clients_(around_, book_, forConnections(around_.start) * 3 / 5),
+      clients_(around_, book_),
       workers_(
-          around_, forConnections(around_.start) * 2 / 5,
-          [this](CallId call, std::string_view value) { answered(call, value); },
+          around_, [this](CallId call, std::string_view value) { answered(call, value); },
           [this](CallId call) { return book_.find(call) == nullptr; }),
       counter_(around_),
       discovery_(around_,
@@ -103,7 +95,8 @@
         StartDocument fresh = reread_();
         StartDocument &start = around_.start;
         if (fresh.listen != start.listen || fresh.peerListen != start.peerListen ||
-            fresh.sockets != start.sockets || fresh.settings != start.settings) {
+            fresh.sockets != start.sockets || fresh.memoryMb != start.memoryMb ||
+            fresh.settings != start.settings) {
             around_.log.warning("reload: listen addresses, limits and settings change with a restart only");
         }
         const bool discovery = fresh.discovery != start.discovery, counter = fresh.counter != start.counter;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,5 +1,8 @@
 #include "stream.hpp"
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <cstring>
 #include <utility>
 
@@ -71,7 +74,6 @@
     Stream &self = *owner(handle->data);
     if (self.begin_ == self.end_) {
         self.begin_ = self.end_ = 0;
-        if (self.in_.size() > mostIdleRoom) self.in_ = {};
     }
     if (self.in_.size() - self.end_ < leastRoom && self.begin_ > 0) {
         std::memmove(self.in_.data(), self.in_.data() + self.begin_, self.end_ - self.begin_);
@@ -94,7 +96,12 @@
 
 void Stream::deliver() {
     const std::size_t used = holder_->onBytes({in_.data() + begin_, end_ - begin_});
-    if (holder_ != nullptr) begin_ += used;
+    if (holder_ == nullptr) return;
+    begin_ += used;
+    if (begin_ == end_ && in_.size() > mostIdleRoom) {
+        in_ = {};
+        begin_ = end_ = 0;
+    }
 }
 
 void Stream::flush() {
@@ -106,7 +113,10 @@
         sent_ += static_cast<std::uint64_t>(wrote);
         out_.erase(0, static_cast<std::size_t>(wrote));
     }
-    if (out_.empty()) return;
+    if (out_.empty()) {
+        if (out_.capacity() > mostIdleRoom) out_ = {};
+        return;
+    }
     writing_.swap(out_);
     write_.data = this;
     buffer = uv_buf_init(writing_.data(), static_cast<unsigned>(writing_.size()));
@@ -116,7 +126,7 @@
 void Stream::written(uv_write_t *request, int status) {
     Stream &self = *owner(request->data);
     if (status == 0) self.sent_ += self.writing_.size();
-    self.writing_.clear();
+    self.writing_ = {};
     if (self.holder_ == nullptr) return;
     if (status != 0) return self.closed();
     self.flush();
@@ -128,6 +138,14 @@
     uv_shutdown(&shutdown_, reinterpret_cast<uv_stream_t *>(&tcp_), [](uv_shutdown_t *, int) {});
 }
 
+bool Stream::hasNews() const {
+    uv_os_fd_t handle;
+    char byte;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t *>(&tcp_), &handle) != 0) return true;
+    return ::recv(handle, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+           (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 void Stream::pause(bool on) {
     if (!open_ || over_) return;
     const auto handle = reinterpret_cast<uv_stream_t *>(&tcp_);
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -45,6 +45,8 @@
     /// Ends our sending; the other side may go on.
     void finish();
     void pause(bool on);
+    /// Whether anything, or its end, has come that was not read yet.
+    bool hasNews() const;
     /// Bytes not yet handed to the system, and how many ever were.
     std::size_t unsent() const { return out_.size() + writing_.size(); }
     std::uint64_t sent() const { return sent_; }
--- a/src/net/surroundings.hpp
+++ b/src/net/surroundings.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "clock.hpp"
+#include "core/bounds.hpp"
 #include "core/start_document.hpp"
 #include "core/tally.hpp"
 #include "log.hpp"
@@ -18,10 +19,11 @@
     uv_loop_t *loop;
     StartDocument start;  ///< of the addresses in it the latest, the rest as it was at the start
     Log &log;
-    Clock clock;
-    Alarms alarms;
-    Tally tally;
-    std::vector<Event> happened;  ///< since the decisions were last asked
+    const Bounds bounds{start.sockets, start.memoryMb};
+    Clock clock{};
+    Alarms alarms{};
+    Tally tally{};
+    std::vector<Event> happened{};  ///< since the decisions were last asked
     Span readAt{};                ///< when sockets were last read: what is read now has come since
 };
 
--- a/src/net/workers.cpp
+++ b/src/net/workers.cpp
@@ -65,8 +65,8 @@
     bool open = false;
 };
 
-Workers::Workers(Surroundings &around, std::size_t most, Answered answered, IsOver isOver)
-    : around_(around), most_(most), answered_(std::move(answered)), isOver_(std::move(isOver)) {
+Workers::Workers(Surroundings &around, Answered answered, IsOver isOver)
+    : around_(around), answered_(std::move(answered)), isOver_(std::move(isOver)) {
     around_.alarms.set(around_.clock.now() + sweepEvery, [this] { sweep(); });
 }
 
@@ -141,7 +141,7 @@
     if (idle != pool.links.rend()) {
         std::rotate(idle.base() - 1, idle.base(), pool.links.end());
         link = pool.links.back().get();
-    } else if (links_ < most_) {
+    } else if (links_ < around_.bounds.workers) {
         link = pool.reachable ? connect(pool, worker) : nullptr;
         if (link == nullptr) return ended(out, Outcome::connectFailed, nullptr);
     } else {
--- a/src/net/workers.hpp
+++ b/src/net/workers.hpp
@@ -22,7 +22,7 @@
     using Answered = std::function<void(CallId, std::string_view value)>;
     using IsOver = std::function<bool(CallId)>;
 
-    Workers(Surroundings &around, std::size_t most, Answered answered, IsOver isOver);
+    Workers(Surroundings &around, Answered answered, IsOver isOver);
     ~Workers();
 
     void list(const TargetNews &news);
@@ -45,7 +45,6 @@
     void sweep();
 
     Surroundings &around_;
-    const std::size_t most_;
     Answered answered_;
     IsOver isOver_;
     std::map<WorkerId, Pool> pools_;
--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -2,6 +2,7 @@
 #include <doctest/doctest.h>
 
 #include "clock.hpp"
+#include "core/bounds.hpp"
 #include "core/call_book.hpp"
 #include "core/http.hpp"
 #include "core/start_document.hpp"
@@ -112,6 +113,9 @@
     Site site;
     site.routes = {"status", "order"};
     site.plans = {"basic", "team"};
+    site.facts = smallSite();
+    site.facts.gateways = 3;
+    site.facts.mostUnits = 6;
     const std::string customer = "00000000b4d65521",
                       list = "c=order,t=team,d=480,k=5c0f,units=2.5,spread=3,first=1";
     struct Row {
@@ -135,6 +139,19 @@
         {"a time that is none", {"Q.ASK", customer, "1", "c=order,t=team,d=nan"}, "bad time"},
         {"a time below nought", {"Q.ASK", customer, "1", "c=order,t=team,d=-1"}, "bad time"},
         {"units past any", {"Q.ASK", customer, "1", "c=order,t=team,d=1,units=1e300"}, "bad units"},
+        {"no units at all", {"Q.DO", customer, "1", "c=order,t=team,d=1,units=0"}, "bad units"},
+        {"more units than a call may have",
+         {"Q.DO", customer, "1", "c=order,t=team,d=1,units=7"},
+         "bad units"},
+        {"units that are none", {"Q.DO", customer, "1", "c=order,t=team,d=1,units=inf"}, "bad units"},
+        {"a set of none", {"Q.DO", customer, "1", "c=order,t=team,d=1,spread=0"}, "bad spread"},
+        {"a set past all", {"Q.DO", customer, "1", "c=order,t=team,d=1,spread=4"}, "bad spread"},
+        {"a set from nowhere", {"Q.DO", customer, "1", "c=order,t=team,d=1,first=3"}, "bad first"},
+        {"no id", {"Q.DO", customer, "", "c=order,t=team,d=1"}, "no such id"},
+        {"asked for what must be done", {"Q.ASK", customer, "1", list}, "wrong command for this class"},
+        {"done what is asked",
+         {"Q.DO", customer, "1", "c=status,t=team,d=1"},
+         "wrong command for this class"},
         {"a spread past any", {"Q.ASK", customer, "1", "c=order,t=team,d=1,spread=-3"}, "bad spread"},
     };
     for (const Row &row : rows) {
@@ -184,11 +201,14 @@
     CallBook book;
     ApiCall call;
     call.body = "12345";
+    call.id = "a";
     const CallId one = book.add(call, {1}, {0}), two = book.add(call, {1}, {1}),
                  other = book.add(call, {2}, {0});
     CHECK(book.bytes() == 15);
+    CHECK(book.holds("a"));
     CHECK(book.end(one));
     CHECK(!book.end(one));
+    CHECK(!book.holds("a"));
     CHECK(book.drop({1}) == std::vector{two});
     CHECK(book.drop({1}).empty());
     CHECK(book.find(two) == nullptr);
@@ -279,6 +299,24 @@
     }
 }
 
+TEST_CASE("all that may be held at once follows from the stated limits") {
+    struct Row {
+        unsigned sockets, memoryMb;
+    };
+    for (const Row &row : {Row{256, 32}, Row{384, 48}, Row{1024, 32}, Row{1024, 192}, Row{16, 1}}) {
+        CAPTURE(row.sockets);
+        const Bounds bounds(row.sockets, row.memoryMb);
+        const std::size_t sockets = std::max(row.sockets, 48u), memory = std::max(row.memoryMb, 8u) << 20;
+        CHECK(bounds.clients + bounds.workers + bounds.counters + 24 <= sockets);
+        CHECK(bounds.counters <= 31);
+        CHECK(bounds.strangers < bounds.clients / 2 + 1);
+        if (row.sockets >= 256) CHECK(3 * bounds.clients > row.sockets);  // a third is for open calls
+        // Bodies, answers, half commands in buffers up to twice as large, and replies of workers.
+        CHECK(4 * bounds.pool < memory / 2);
+        CHECK(bounds.leftByOne <= bounds.pool);
+    }
+}
+
 TEST_CASE("alarms ring in order of time, and not once cleared") {
     Alarms alarms;
     std::string rung;
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <sstream>
 #include <thread>
+#include <vector>
 
 #include "gateway.hpp"
 
@@ -92,9 +93,11 @@
     return out;
 }
 
-std::string call(const char *route, int patienceMs) {
+std::string call(const char *route, int patienceMs, const char *id = nullptr) {
+    static std::atomic<int> last = 0;
+    const std::string number = id != nullptr ? id : "1f" + std::to_string(++last);
     return "*4\r\n" + word(std::string_view(route) == "status" ? "Q.ASK" : "Q.DO") +
-           word("00000000b4d65521") + word("1f") +
+           word("00000000b4d65521") + word(number) +
            word("c=" + std::string(route) + ",t=basic,d=" + std::to_string(patienceMs) +
                 ",units=1,spread=1,first=0");
 }
@@ -103,15 +106,15 @@
 
 /// A gatekeeper in a thread, and beside it all that it speaks to.
 struct World {
-    World() {
+    explicit World(int sockets = 1024) {
         const auto at = [](int number) { return "\"127.0.0.1:" + std::to_string(number) + "\""; };
         Socket free = Socket::listening();
         port = free.port();
         free.close();
         start = readStart(
-            R"({"listen":)" + at(port) + R"(,"discovery":)" + at(discovery.port()) + R"(,"counter":)" +
-            at(counter.port()) + R"(,"known":{"index":1,"endpoints":[{"name":"w","address":)" +
-            at(worker.port()) +
+            R"({"limits":{"memory_mb":32,"sockets":)" + std::to_string(sockets) + R"(},"listen":)" +
+            at(port) + R"(,"discovery":)" + at(discovery.port()) + R"(,"counter":)" + at(counter.port()) +
+            R"(,"known":{"index":1,"endpoints":[{"name":"w","address":)" + at(worker.port()) +
             R"(,"status":"Ready"}]},"settings":{"balancers":1,"rules":{"rampTimeMs":1000},"classes":[
             {"name":"status","effect":"safe","onTimeMs":800,"deadlineMs":1000},
             {"name":"dispatch","effect":"unsafe","onTimeMs":800,"deadlineMs":1000}],
@@ -452,6 +455,83 @@
     CHECK(answers == asked);
 }
 
+TEST_CASE("bad clients get an error or a close in time, and nobody waits for what they may still send") {
+    struct Row {
+        const char *name;
+        std::string sent;
+        const char *answer;
+        Span least, most;
+    };
+    const std::string half = "*4\r\n$5\r\nQ.ASK\r\n$16\r\n0000";
+    const Row rows[] = {
+        {"silence", "", "<closed>", milliseconds(1500), milliseconds(2800)},
+        {"half a command", half, "<closed>", milliseconds(1500), milliseconds(2800)},
+        {"60 MB to come",
+         "*2\r\n$60000000\r\nxxxx",
+         "-ERR Protocol error\r\n<closed>",
+         {},
+         milliseconds(600)},
+        {"a length below nought", "*2\r\n$-5\r\n", "-ERR Protocol error\r\n<closed>", {}, milliseconds(600)},
+        {"noise", std::string(100000, 'x'), "-ERR Protocol error\r\n<closed>", {}, milliseconds(600)},
+    };
+    World world;
+    world.ready();
+    std::vector<Socket> sockets;
+    const auto begun = std::chrono::steady_clock::now();
+    for (const Row &row : rows) (sockets.push_back(world.client()), sockets.back().write(row.sent));
+    const Socket usual = world.client();
+    usual.write("*1\r\n$4\r\nPING\r\n" + half);
+    for (const std::size_t at : {2u, 3u, 4u, 0u, 1u}) {
+        CAPTURE(rows[at].name);
+        // read() ends at a line: what comes after it is the close
+        std::string came = sockets[at].read("\r\n");
+        if (!came.ends_with("<closed>")) came += sockets[at].read("\r\n");
+        CHECK(came == rows[at].answer);
+        const auto took = std::chrono::steady_clock::now() - begun;
+        CHECK((took >= rows[at].least && took <= rows[at].most));
+    }
+    CHECK(usual.read("x") == "+PONG\r\n<closed>");  // half a command is too late from anybody
+}
+
+TEST_CASE("the id of an open call is turned away, and the open call goes on") {
+    World world;
+    const Socket client = world.ready(), other = world.client();
+    client.write(call("dispatch", 1000, "77"));
+    const Socket link = world.worker.accept();
+    link.read("first=0\r\n");
+    other.write(call("dispatch", 1000, "77"));
+    CHECK(other.read() == "-ERR this id is open\r\n");
+    CHECK(!world.worker.accept(milliseconds(50)).open());
+    link.write(proxied);
+    CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+    other.write(call("dispatch", 1000, "77"));
+    CHECK(link.read("first=0\r\n").find("c=dispatch") != std::string::npos);
+}
+
+TEST_CASE("a crowd that says nothing takes no descriptor from usual clients") {
+    World world(96);  // 39 clients, 13 of them strangers
+    const Socket first = world.ready();
+    std::vector<Socket> usual, crowd;
+    for (int left = 10; left > 0; --left) {
+        usual.push_back(world.client());
+        usual.back().write("*1\r\n$4\r\nPING\r\n");
+        CHECK(usual.back().read() == "+PONG\r\n");
+    }
+    for (int left = 100; left > 0; --left) crowd.push_back(world.client());
+    Socket late = world.client();
+    late.write("*1\r\n$4\r\nPING\r\n");
+    for (int left = 100; left > 0; --left) crowd.push_back(world.client());
+    CHECK(late.read() == "+PONG\r\n");
+    usual.push_back(std::move(late));
+    for (const Socket &one : usual) {
+        one.write("*1\r\n$4\r\nPING\r\n");
+        CHECK(one.read() == "+PONG\r\n");
+    }
+    std::size_t closed = 0;
+    for (const Socket &one : crowd) closed += one.ready(milliseconds(0));
+    CHECK(closed >= 180);
+}
+
 TEST_CASE("not ready before discovery has spoken; bad commands get a plain error") {
     World world;
     const Socket early = world.client();
