Spoilt answers close their connection and say nothing of the worker; none is left out for good

Now the first byte decides, a spoilt answer is an errored try and closes, an idle connection with bytes on it is not used, figures that are no numbers are none. pick never sent a non-idempotent call to a worker on trial for its route, and only such calls are judged there: left out for good. It is tried again two seconds after its bar, with its full time.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -28,7 +28,7 @@
 
 constexpr double kNearQuota = 0.5;            // of the burst; below it totals are read again,
 constexpr Span kRefresh = milliseconds(100);  // at most so often
-constexpr Span kBar = milliseconds(250), kFullFor = milliseconds(3000);
+constexpr Span kBar = milliseconds(250), kBack = milliseconds(2000), kFullFor = milliseconds(3000);
 constexpr int kAdvice = 3;       // so many fit into a latency target,
 constexpr double kJitter = 0.5;  // less by up to this part
 constexpr Span kOpenEpoch = milliseconds(20000), kLongest = milliseconds(60000);
@@ -522,8 +522,9 @@
         rq.out = true;
         rq.worker = to;
         rq.sentAt = now;
-        // On trial a worker gets little time, against one that never answers.
-        const Span patience = onTrial(worker, rq.route) ? routes[rq.route.value].latencyTarget / 3 : rq.left;
+        // On trial a worker gets little time, against one that never answers, if that may run elsewhere.
+        const bool hurry = onTrial(worker, rq.route) && !once(rq);
+        const Span patience = hurry ? routes[rq.route.value].latencyTarget / 3 : rq.left;
         actions.push_back(SendTry{id, to, std::min(rq.until, now + patience)});
         if (!std::exchange(rq.held, false)) countOpen(rq, 1);
     }
@@ -564,9 +565,8 @@
 
     void on(const ClientGone &gone) {
         const auto found = calls.find(gone.call);
-        if (found == calls.end() || found->second.closed) return;
-        Call &rq = found->second;
-        rq.closed = true;
+        if (found == calls.end() || std::exchange(found->second.closed, true)) return;
+        const Call &rq = found->second;
         const auto last = static_cast<std::uint8_t>(rq.tries - 1);
         if (rq.out && facts.mayCancel) actions.push_back(CallOffTry{gone.call, {last}});
         if (!rq.out && !rq.held) calls.erase(found);
@@ -596,6 +596,8 @@
         return !rq.mayHaveRun || row.effect == Effect::idempotent || dropped;
     }
 
+    bool once(const Call &rq) const { return routes[rq.route.value].effect == Effect::nonIdempotent; }
+
     bool inScope(const Call &rq, const Worker &worker) const {
         const RouteRow &row = routes[rq.route.value];
         if (!rq.mayHaveRun || row.effect != Effect::tokened || row.repeatScope == RepeatScope::all)
@@ -631,7 +633,6 @@
 
     std::optional<WorkerId> pick(const Call &rq) {
         if (orderOld) rerank();
-        const RouteRow &row = routes[rq.route.value];
         const double part = std::clamp(worthOf(rq) / worths.mean(1), kCheapPart, 1.0);
         for (const bool beyondShare : {false, true}) {
             for (const Worker *worker : ranked) {
@@ -640,8 +641,8 @@
                 if (now < barred) continue;
                 if (!beyondShare && worker->out >= worker->share) continue;
                 const bool again = rq.tries > 0 && rq.worker == id && ranked.size() > 1;
-                const bool trial = onTrial(*worker, rq.route), once = row.effect == Effect::nonIdempotent;
-                if (again || (trial && once) || !inScope(rq, *worker)) continue;
+                const bool trial = onTrial(*worker, rq.route);
+                if (again || (trial && once(rq) && now < barred + kBack) || !inScope(rq, *worker)) continue;
                 // A limit under one is kept by rests: so many gateways with one try each would be too many.
                 const double limit = std::min(trial ? 1 : worker->limit, coldLimit(*worker)) * part;
                 const double rest = (1 / std::max(1e-3, limit) - 1) * usual;
--- a/src/net/core/tally.cpp
+++ b/src/net/core/tally.cpp
@@ -22,6 +22,7 @@
         {"tries_reset", triesReset},
         {"tries_called_off", triesCalledOff},
         {"tries_not_sent", triesNotSent},
+        {"replies_spoilt", repliesSpoilt},
         {"worker_connections", workerConnections},
         {"counts_sent", countsSent},
         {"counts_answered", countsAnswered},
--- a/src/net/core/worker_reply.cpp
+++ b/src/net/core/worker_reply.cpp
@@ -6,6 +6,9 @@
 namespace arrowstile {
 namespace {
 
+constexpr double mostFigure = 1e9;  // and no less than nought: what is beyond, or no number, is no figure
+constexpr std::size_t longestReply = resp::longestValue + 8 * 1024, replyItems = 3;
+
 std::optional<double> figure(std::string_view text, std::string_view name) {
     while (!text.empty()) {
         const auto end = std::min(text.find(','), text.size());
@@ -16,7 +19,8 @@
             const auto digits = item.substr(equals + 1);
             const auto last = digits.data() + digits.size();
             const auto [at, error] = std::from_chars(digits.data(), last, value);
-            return error == std::errc{} && at == last ? std::optional(value) : std::nullopt;
+            const bool sound = error == std::errc{} && at == last && value >= 0 && value <= mostFigure;
+            return sound ? std::optional(value) : std::nullopt;
         }
         text.remove_prefix(std::min(end + 1, text.size()));
     }
@@ -47,24 +51,31 @@
     return load;
 }
 
+bool mayBeReply(std::string_view begun) {
+    const bool known = begun.empty() || begun[0] == '*' || begun[0] == '-';
+    return known && begun.size() <= longestReply;
+}
+
 WorkerReply readWorkerReply(const resp::Reply &reply, const Site &site) {
     using Kind = resp::Reply::Kind;
     WorkerReply read;
     const auto &items = reply.items;
-    if (reply.kind == Kind::array && !items.empty() && items[0].kind == Kind::bulk) {
+    if (reply.kind == Kind::array && items.size() == replyItems && items[0].kind == Kind::bulk) {
         read.outcome = Outcome::answered;
         read.value = items[0].text;
-        if (items.size() > 1 && items[1].kind == Kind::bulk) {
+        if (items[1].kind == Kind::bulk) {
             if (const auto used = figure(items[1].text, "used")) read.meteredShare = *used / 100;
-            read.trueUnits = figure(items[1].text, "cost");
+            if (site.facts.unitsSettled) read.trueUnits = figure(items[1].text, "cost");
         }
-        if (items.size() > 2 && items[2].kind == Kind::bulk) read.load = readLoad(items[2].text, site);
+        if (items[2].kind == Kind::bulk) read.load = readLoad(items[2].text, site);
     } else if (reply.kind == Kind::error) {
         const auto word = reply.text.substr(0, reply.text.find(' '));
         if (word == "BUSY") read.outcome = Outcome::full;
         read.misspelt = word == "SYNTAX";
         const auto last = reply.text.rfind(' ');
         if (last != std::string_view::npos) read.load = readLoad(reply.text.substr(last + 1), site);
+    } else {
+        read.spoilt = true;
     }
     return read;
 }
--- a/src/net/core/worker_reply.hpp
+++ b/src/net/core/worker_reply.hpp
@@ -16,11 +16,15 @@
     std::string_view value;
     std::optional<double> meteredShare, trueUnits;
     std::vector<double> load;
+    bool spoilt = false;    ///< no reply that belongs to a command: the connection is of no further use
     bool misspelt = false;  ///< the worker could not read what it was sent
 };
 
 WorkerReply readWorkerReply(const resp::Reply &reply, const Site &site);
 
+/// Whether what has come so far can still become a reply to an API call.
+bool mayBeReply(std::string_view begun);
+
 /// A load report in the order of the site's columns, empty if the text is none.
 std::vector<double> readLoad(std::string_view text, const Site &site);
 
--- a/src/net/workers.cpp
+++ b/src/net/workers.cpp
@@ -52,6 +52,7 @@
     void onOpen() override;
 
     std::size_t onBytes(std::string_view bytes) override;
+    std::size_t spoilt();
 
     void onClosed() override { all.drop(*this, Outcome::reset); }
 
@@ -135,12 +136,9 @@
 /// A connection to itself for each try: one given up ends its connection, and answers that share one wait for
 /// each other. Only at the limit on sockets do tries share, up to what the settings allow.
 void Workers::put(Pool &pool, WorkerId worker, Out out, std::string command) {
-    Link *link = nullptr;
-    const auto idle = std::find_if(pool.links.rbegin(), pool.links.rend(),
-                                   [](const auto &one) { return one->open && one->out.empty(); });
-    if (idle != pool.links.rend()) {
-        std::rotate(idle.base() - 1, idle.base(), pool.links.end());
-        link = pool.links.back().get();
+    Link *link = takeIdle(pool);
+    if (link != nullptr) {
+        // the usual case
     } else if (links_ < around_.bounds.workers) {
         link = pool.reachable ? connect(pool, worker) : nullptr;
         if (link == nullptr) return ended(out, Outcome::connectFailed, nullptr);
@@ -169,6 +167,21 @@
     if (link->open) unflushed_.insert(link);
 }
 
+/// Bytes on an idle connection belong to nobody, and would be taken for the answer to what is sent next.
+Workers::Link *Workers::takeIdle(Pool &pool) {
+    for (auto at = pool.links.size(); at > 0; --at) {
+        const auto one = pool.links.begin() + static_cast<std::ptrdiff_t>(at) - 1;
+        if (!(*one)->open || !(*one)->out.empty()) continue;
+        if ((*one)->stream->hasNews()) {
+            pool.links.erase(one);
+            continue;
+        }
+        std::rotate(one, one + 1, pool.links.end());
+        return pool.links.back().get();
+    }
+    return nullptr;
+}
+
 Workers::Link *Workers::connect(Pool &pool, WorkerId worker) {
     auto made = std::make_unique<Link>(*this, worker);
     Link *link = made.get();
@@ -207,12 +220,12 @@
     std::size_t used = 0;
     resp::Reply reply;
     while (used < bytes.size()) {
-        const auto parsed = resp::parseReply(bytes.substr(used), reply);
+        const auto rest = bytes.substr(used);
+        const auto parsed = out.empty() || !(out.front().probe || mayBeReply(rest))
+                                ? resp::Parsed::broken
+                                : resp::parseReply(rest, reply);
         if (parsed == resp::Parsed::more) break;
-        if (parsed == resp::Parsed::broken || out.empty()) {
-            all.drop(*this, Outcome::reset);
-            return 0;
-        }
+        if (parsed == resp::Parsed::broken) return spoilt();
         used += reply.used;
         const Out one = out.front();
         out.pop_front();
@@ -223,6 +236,10 @@
             if (load) read.load = readLoad(reply.text, all.around_.start.site);
             if (load || reply.kind == resp::Reply::Kind::status) read.outcome = Outcome::answered;
         }
+        if (read.spoilt && !one.probe) {
+            out.push_front(one);
+            return spoilt();
+        }
         if (read.misspelt) all.around_.log.error("a worker could not read a command: ", reply.text);
         all.ended(one, read.outcome, &read);
     }
@@ -236,6 +253,14 @@
     return used;
 }
 
+/// Nothing on this connection can be told from what belongs to it any more. A try on it may have run; it says
+/// little of the worker, so it counts as one that errored.
+std::size_t Workers::Link::spoilt() {
+    if (!out.empty()) ++all.around_.tally.repliesSpoilt;
+    all.drop(*this, Outcome::errored);
+    return 0;
+}
+
 void Workers::ended(const Out &out, Outcome outcome, const WorkerReply *reply) {
     Tally &tally = around_.tally;
     switch (outcome) {
--- a/src/net/workers.hpp
+++ b/src/net/workers.hpp
@@ -39,6 +39,7 @@
     struct Pool;
 
     void put(Pool &pool, WorkerId worker, Out out, std::string command);
+    Link *takeIdle(Pool &pool);
     Link *connect(Pool &pool, WorkerId worker);
     void drop(Link &link, Outcome rest);
     void ended(const Out &out, Outcome outcome, const WorkerReply *reply);
--- a/tests/test_choice.cpp
+++ b/tests/test_choice.cpp
@@ -448,6 +448,33 @@
     }
 }
 
+TEST_CASE("a worker left out for what can't run again is tried with it later, and taken back") {
+    Desk desk;
+    desk.workers(2);
+    std::uint64_t id = 0;
+    const auto sentToFirst = [&](int rounds, bool failing) {
+        int sent = 0;
+        for (; rounds > 0; --rounds) {
+            std::vector<SendTry> tries;
+            for (int left = 4; left > 0; --left)
+                for (const SendTry &to : desk.call(++id, 2).all<SendTry>()) tries.push_back(to);
+            desk.pass(milliseconds(10));
+            for (const SendTry &to : tries) {
+                const bool bad = failing && to.worker.value == 1;
+                sent += to.worker.value == 1;
+                desk.ended(to.call.value, 0, to.worker, bad ? Outcome::errored : Outcome::answered, !bad);
+            }
+            desk.pass(milliseconds(10));
+        }
+        return sent;
+    };
+    CHECK(sentToFirst(20, true) > 0);
+    CHECK(sentToFirst(20, true) == 0);
+    CHECK(sentToFirst(600, true) < 12);  // at most one every two seconds or so, while it fails
+    sentToFirst(400, false);
+    CHECK(sentToFirst(100, false) > 100);
+}
+
 TEST_CASE("a worker that fails loses what can't run again, unless most of them fail") {
     for (const unsigned failing : {1u, 4u}) {
         CAPTURE(failing);
--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -66,6 +66,7 @@
 TEST_CASE("a worker's reply tells the outcome, the value and the figures") {
     Site site;
     site.loadColumns = {"q", "util"};
+    site.facts.unitsSettled = true;
     struct Row {
         const char *in;
         Parsed parsed;
@@ -81,7 +82,15 @@
          "",
          {2, 0.5}},
         {"*3\r\n$2\r\nhi\r\n$-1\r\n$7\r\nqueue=2\r\n", Parsed::whole, Outcome::answered, "hi", {}},
-        {"*1\r\n$-1\r\n", Parsed::whole, Outcome::errored, "", {}},
+        {"*3\r\n$2\r\nhi\r\n$-1\r\n$17\r\nqueue=-2,util=0.5\r\n", Parsed::whole, Outcome::answered, "hi", {}},
+        {"*3\r\n$2\r\nhi\r\n:7\r\n$16\r\nqueue=nan,util=1\r\n", Parsed::whole, Outcome::answered, "hi", {}},
+        {"*3\r\n$2\r\nhi\r\n$-1\r\n$20\r\nqueue=1e300,util=0.5\r\n",
+         Parsed::whole,
+         Outcome::answered,
+         "hi",
+         {}},
+        {"*2\r\n$2\r\nhi\r\n$-1\r\n", Parsed::whole, Outcome::errored, "", {}},
+        {"*3\r\n$-1\r\n$-1\r\n$-1\r\n", Parsed::whole, Outcome::errored, "", {}},
         {"-ERR failed\r\n", Parsed::whole, Outcome::errored, "", {}},
         {"-ERR failed q=1,util=0.25\r\n", Parsed::whole, Outcome::errored, "", {1, 0.25}},
         {"-BUSY\r\n", Parsed::whole, Outcome::full, "", {}},
@@ -105,6 +114,7 @@
         CHECK(read.outcome == row.outcome);
         CHECK(read.value == row.value);
         CHECK(read.load == row.load);
+        CHECK(read.spoilt == (row.outcome == Outcome::errored && row.in[0] != '-'));
         if (row.load == std::vector{2, 0.5}) CHECK((read.meteredShare == 0.5 && read.trueUnits == 3));
     }
 }
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -191,7 +191,10 @@
         {"an error of what must not run twice", "dispatch", "-ERR failed\r\n", "-ERR failed\r\n", false, 1},
         {"a break of what must not run twice", "dispatch", "", "-ERR failed\r\n", true, 1},
         {"half a reply and a break", "dispatch", "*3\r\n$2\r\nh", "-ERR failed\r\n", true, 1},
-        {"nonsense", "dispatch", "nonsense\r\n", "-ERR failed\r\n", false, 1},
+        {"noise without an end", "dispatch", "nonsense", "-ERR failed\r\n", false, 1},
+        {"no reply to a call", "dispatch", "+OK\r\n", "-ERR failed\r\n", false, 1},
+        {"3 GB", "dispatch", "*3\r\n$3000000000\r\nxx", "-ERR failed\r\n", false, 1},
+        {"items without an end", "dispatch", "*1000000000\r\n", "-ERR failed\r\n", false, 1},
         {"an error of what may run again", "status", "-ERR failed\r\n", "$2\r\nhi\r\n", false, 2},
         {"a break of what may run again", "status", "", "$2\r\nhi\r\n", true, 2},
         {"turned away unseen", "dispatch", "-BUSY\r\n", "$2\r\nhi\r\n", false, 2},
@@ -216,6 +219,41 @@
     }
 }
 
+TEST_CASE("a spoilt answer is a failed try: repeated where the route allows, and its connection closes") {
+    World world;
+    const Socket client = world.ready();
+    client.write(call("status", 1000));
+    const Socket link = world.worker.accept();
+    link.read("first=0\r\n");
+    link.write("xxxxxxxx");
+    CHECK(link.read("x") == "<closed>");
+    const Socket next = world.worker.accept();
+    CHECK(next.read("first=0\r\n").find("c=status") != std::string::npos);
+    next.write(proxied);
+    CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+}
+
+TEST_CASE("what comes behind a good answer is passed on to nobody, and its connection closes") {
+    for (const std::string &behind : {proxied, std::string("noise")}) {
+        for (const int laterMs : {0, 20}) {
+            World world;
+            const Socket client = world.ready();
+            client.write(call("status", 1000));
+            const Socket link = world.worker.accept();
+            link.read("first=0\r\n");
+            link.write(laterMs > 0 ? proxied : proxied + behind);
+            CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+            if (laterMs > 0) link.write(behind);
+            client.write(call("status", 1000));
+            const Socket next = world.worker.accept();
+            next.read("first=0\r\n");
+            next.write("*3\r\n$3\r\nown\r\n$-1\r\n$-1\r\n");
+            CHECK(client.read("own\r\n") == "$3\r\nown\r\n");
+            CHECK(link.read("x") == "<closed>");
+        }
+    }
+}
+
 TEST_CASE("a try that is never answered is given up in time, and its connection with it") {
     for (const char *route : {"status", "dispatch"}) {
         CAPTURE(route);
