--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -4,7 +4,7 @@
 // The design: admits() decides at once from a cached two-window estimate; report() tells the counter of every
 // pass in the background, and the late reply refreshes the cache. Six mechanisms stand beside it:
 //   1 ranked fill: pick(), reorder(), learnLimit()   4 line of further tries: serveLine()
-//   2 health by route and silence: learn(), phi()    5 guards: underCeiling(), underCap(), decideHeld()
+//   2 health by route: learn(), callOffOvertaken()   5 guards: underCeiling(), underCap(), decideHeld()
 //   3 warm-up limits: coldLimit()                    6 trust in the counter: trusted(), mayCall(), refresh()
 #include <algorithm>
 #include <array>
@@ -41,7 +41,7 @@
 constexpr double kCrossing = 0.15, kCheapPart = 0.6;  // of the usual latency; of a limit, for cheap calls
 constexpr double kLateAt = 0.2, kEasyAt = 0.08;       // of the latency target
 
-constexpr double kBadShare = 0.3;
+constexpr double kBadShare = 0.3, kFar = 3;             // of the outcomes; times the usual latency, by units
 constexpr std::size_t kJudgedFrom = 4, kTurnsFrom = 8;  // samples; gateways
 
 double ms(Span span) { return static_cast<double>(span.count()) / 1000; }
@@ -79,12 +79,12 @@
 
 struct Worker {
     WorkerEntry entry;
-    int out = 0;
+    int out = 0, cuts = 0;  // cuts: since its last answer
     double limit = 1, share = 1, key = 1;
-    Recent<16> slowness;  // latency over the route's usual one
-    Recent<16> gaps;      // silences that ended, while something was out
-    Span quietSince{}, barredUntil{}, limitCutAt{}, endedAt{};  // endedAt: none before the first answer
-    std::vector<Health> health;                                 // by route
+    Recent<16> slowness;                          // latency over the route's usual one
+    Recent<4> answered;                           // when the tries that it answered last had been sent
+    Span barredUntil{}, limitCutAt{}, endedAt{};  // endedAt: none before the first answer
+    std::vector<Health> health;                   // by route
     bool left() const { return entry.state == WorkerState::gone && out == 0; }
 };
 
@@ -136,7 +136,7 @@
 struct Call : CallTaken {
     Span taken{}, until{}, sentAt{}, maybeRanFrom{};
     unsigned tries = 0;
-    bool out = false, held = false, closed = false, mayHaveRun = false;
+    bool out = false, held = false, closed = false, mayHaveRun = false, calledOff = false;
     WorkerId worker{};
     WorkerEntry maybeRanAt{};
     std::int64_t openEpoch = -1;
@@ -174,8 +174,7 @@
     std::vector<Action> handle(Span at, const Event &event) {
         now = at;
         actions.clear();
-        if (!ticking) {
-            ticking = true;
+        if (!std::exchange(ticking, true)) {
             startedAt = pacedAt = now;
             actions.push_back(SetTimer{now + kTick, kTickToken});
         }
@@ -222,13 +221,12 @@
         const double own = cons.units.current.own() + cons.units.previous.own();
         if (!cons.known && own <= 0) return true;
         // The estimate fades in proportion, the quota fills at its rate: after a burst it would refuse with
-        // half of the quota unused. There, and only there, the refilled store has the last word, with room
-        // for the call that each of the others may have passed unseen, half of them at once.
+        // half unused. There the refilled store has the last word, with room for calls that others passed
+        // unseen.
         const double unseen = std::max(1.0, cons.gateways / 2.0 - 1);
         return estimate(id, cons) + units <= limit || (cons.known && cons.refilled >= units * unseen);
     }
 
-    /// Brings windows and store up to now.
     void turn(CustomerId id, Customer &cons) {
         const Plan &plan = planOf(cons.plan);
         const Span length = windowOf(plan);
@@ -244,10 +242,9 @@
     double estimate(CustomerId id, const Customer &cons) const {
         const Span length = windowOf(planOf(cons.plan)), into = phased(id, length) % length;
         const Count &current = cons.units.current, &previous = cons.units.previous;
-        const double perMs = cons.othersPerMs, elapsed = ms(into) / ms(length);
-        const double unseenCurrent = perMs * ms(into - current.heardFor);
-        const double unseenPrevious = perMs * ms(length - previous.heardFor);
-        return current.use() + unseenCurrent + (previous.use() + unseenPrevious) * (1 - elapsed);
+        const double unseen = cons.othersPerMs * ms(into - current.heardFor);
+        const double before = cons.othersPerMs * ms(length - previous.heardFor);
+        return current.use() + unseen + (previous.use() + before) * (1 - ms(into) / ms(length));
     }
 
     /// PCG-XSH-RR, 64 bits of state, 32 of output; from 0 to 1.
@@ -301,8 +298,9 @@
         const Plan &plan = planOf(cons.plan);
         if (!cons.held.empty()) return kLongest.count();
         const double open = std::abs(cons.open.current.unsent) / std::max(1u, plan.openCap);
+        if (!limitsRate(plan)) return open;
         const double units = std::abs(cons.units.current.unsent) + std::abs(cons.units.previous.unsent);
-        return open + (limitsRate(plan) ? units / std::max(1.0, plan.burst - estimate(id, cons)) : 0);
+        return open + units / std::max(1.0, plan.burst - estimate(id, cons));
     }
 
     void list(CustomerId id, Customer &cons) {
@@ -314,11 +312,10 @@
     void refresh(CustomerId id, Customer &cons) {
         const Plan &plan = planOf(cons.plan);
         if (!limitsRate(plan) || cons.refilled > kNearQuota * plan.burst) return;
-        Count &current = cons.units.current, &previous = cons.units.previous;
+        Count &current = cons.units.current, &past = cons.units.previous;
         const Span length = windowOf(plan);
-        const bool unfinished = previous.heard && previous.heardFor < length;
         if (now - current.heardAt > kRefresh) report(id, Meaning::units, current, length, Ask::read);
-        if (unfinished) report(id, Meaning::units, previous, length, Ask::read);
+        if (past.heard && past.heardFor < length) report(id, Meaning::units, past, length, Ask::read);
     }
 
     void reportAll(CustomerId id, Customer &cons, Ask ask = Ask::pass) {
@@ -438,8 +435,7 @@
 
     void decideHeld(Customer &cons, bool ok, double total) {
         if (!ok) cons.heldInCall = cons.held.size();
-        const unsigned cap = planOf(cons.plan).openCap;
-        const double most = ok ? cap : openShare(cons);
+        const double cap = planOf(cons.plan).openCap, most = ok ? cap : openShare(cons);
         double open = ok ? total + stillOpen(cons.open.previous) - static_cast<double>(cons.heldInCall)
                          : cons.openHere - static_cast<double>(cons.held.size());
         if (total >= cap) cons.fullAt = now;
@@ -516,16 +512,14 @@
 
     void send(CallId id, Call &rq, WorkerId to) {
         Worker &worker = workers.at(to);
-        if (worker.out++ == 0) worker.quietSince = now;
+        ++worker.out;
         ++rq.tries;
         sendGaps.add(ms(now - std::exchange(sentLast, now)));
         rq.out = true;
+        rq.calledOff = false;
         rq.worker = to;
         rq.sentAt = now;
-        // On trial a worker gets little time, against one that never answers, if that may run elsewhere.
-        const bool hurry = onTrial(worker, rq.route) && !once(rq);
-        const Span patience = hurry ? routes[rq.route.value].latencyTarget / 3 : rq.left;
-        actions.push_back(SendTry{id, to, std::min(rq.until, now + patience)});
+        actions.push_back(SendTry{id, to, rq.until});
         if (!std::exchange(rq.held, false)) countOpen(rq, 1);
     }
 
@@ -669,10 +663,8 @@
 
     double wanted() const { return std::max(kFewest, 1000 / std::max(1e-3, sendGaps.mean(1000))); }
 
-    /// How many gateways use a worker, all being like this one.
     double users() const {
-        const double all = static_cast<double>(order.size());
-        return facts.gateways * std::min(1.0, wanted() / std::max(1.0, all));
+        return facts.gateways * std::min(1.0, wanted() / std::max(1.0, double(order.size())));
     }
 
     void rerank() {
@@ -686,14 +678,12 @@
             well +=
                 now >= worker->barredUntil && !cold(*worker) && std::ranges::none_of(worker->health, failing);
             const double slow = std::clamp(worker->slowness.mean(1), 0.25, 4.0);
-            worker->key = slow * (1 + worker->out) * std::max(1.0, phi(*worker)) +
-                          (worker->entry.zone == facts.zone ? 0 : kCrossing);
+            worker->key = slow * (1 + worker->out) + (worker->entry.zone == facts.zone ? 0 : kCrossing);
             worker->share = worker->out + 1;
         }
         for (std::size_t at = 0; at < routes.size(); ++at) {
             const auto fails = [at](const Worker *worker) { return failing(worker->health[at]); };
-            const auto failures = static_cast<std::size_t>(std::ranges::count_if(ranked, fails));
-            routes[at].commonFailure = 4 * failures > 3 * ranked.size();
+            routes[at].commonFailure = 4 * std::ranges::count_if(ranked, fails) > 3 * std::ssize(ranked);
         }
         std::ranges::stable_sort(ranked, {}, &Worker::key);
         usual = 0;
@@ -732,6 +722,8 @@
         const bool cut = ended.outcome == Outcome::connectFailed || ended.outcome == Outcome::reset;
         if (ended.outcome == Outcome::answered) {
             health.bad.add(0);
+            worker.cuts = 0;
+            worker.answered.add(ms(found->second.sentAt));
             row.latencies.add(ms(ended.latency));
             worker.slowness.add(ms(ended.latency) / std::max(0.1, row.latencies.mean(1)));
             learnLimit(worker, ms(ended.latency), ms(row.latencyTarget));
@@ -740,21 +732,28 @@
             worker.barredUntil = std::max(worker.barredUntil, now + kBar / 2);
         } else if (cut || ended.outcome == Outcome::errored || ended.outcome == Outcome::timedOut) {
             health.bad.add(1);
-            const auto bads = std::llround(health.bad.sum());
-            if (onTrial(worker, route)) health.barredUntil = now + kBar * bads;
-            if (cut) worker.barredUntil = now + kBar * bads;
+            if (onTrial(worker, route)) health.barredUntil = now + kBar * std::llround(health.bad.sum());
+            // One reset may be the connection's own end; a worker that is gone refuses, or resets in a row.
+            worker.cuts += cut;
+            if (worker.cuts > (ended.outcome == Outcome::connectFailed ? 0 : 1))
+                worker.barredUntil = now + kBar * std::min(worker.cuts, 16);
+        }
+        if (ended.outcome == Outcome::answered || ended.outcome == Outcome::errored) worker.endedAt = now;
+    }
+
+    /// A connection can fall silent while its worker goes on. A try that the last answers there have
+    /// overtaken, and that takes far too long for its size (up to the target if it may not run twice), is
+    /// called off.
+    void callOffOvertaken() {
+        for (auto &[id, rq] : calls) {
+            const auto at = workers.find(rq.worker);
+            if (!facts.mayCancel || !rq.out || rq.calledOff || at == workers.end()) continue;
+            const Span target = routes[rq.route.value].latencyTarget;
+            const double far = kFar * (1 + rq.units) * routes[rq.route.value].latencies.mean(ms(target));
+            if (now - rq.sentAt < (once(rq) ? target : std::min(target, spanOf(far)))) continue;
+            rq.calledOff = std::ranges::min(at->second.answered.samples) > ms(rq.sentAt);
+            if (rq.calledOff) actions.push_back(CallOffTry{id, {static_cast<std::uint8_t>(rq.tries - 1)}});
         }
-        if (ended.outcome != Outcome::answered && ended.outcome != Outcome::errored) return;
-        worker.endedAt = now;
-        worker.gaps.add(ms(now - worker.quietSince));
-        worker.quietSince = now;
-    }
-
-    /// Phi accrual: how unlikely is the present silence, given the gaps before? It weighs in the ranking, so
-    /// a worker that hangs, stalls or is cut off goes last, and when all are silent nothing changes.
-    double phi(const Worker &worker) const {
-        if (worker.out == 0 || worker.gaps.size() < kJudgedFrom) return 0;
-        return ms(now - worker.quietSince) / std::max(1.0, worker.gaps.mean(1)) / std::log(10.0);
     }
 
     // ---- 3: warm-up ----
@@ -789,20 +788,21 @@
         for (const WorkerEntry &entry : news.workers) {
             Worker &worker = workers[entry.worker];
             // Another process: nothing learned of the last one holds.
-            if (worker.entry.startedAt != entry.startedAt) worker = {.out = worker.out, .quietSince = now};
+            if (worker.entry.startedAt != entry.startedAt) worker = {.out = worker.out};
             worker.entry = entry;
             worker.health.resize(routes.size());
         }
         std::erase_if(workers, [](const auto &one) { return one.second.left(); });
         reorder();
         for (auto &[id, worker] : workers)
-            if (worker.gaps.size() == 0) worker.limit = kFirstLimit / users();
+            if (worker.slowness.size() == 0) worker.limit = kFirstLimit / users();
     }
 
     void on(const TimerFired &fired) {
         if (fired.token != kTickToken) return;
         actions.push_back(SetTimer{now + kTick, kTickToken});
         orderOld = true;
+        callOffOvertaken();
         if (!line.empty()) serveLine();
         // Whatever keeps the counter's answer away, none waits for it longer than the counter may take.
         for (const CustomerId id : std::vector(due.begin(), due.end())) {
@@ -824,7 +824,8 @@
         dropIdle();
     }
 
-    /// A few customers a tick are looked at, in turn: each about once in a hundred ticks, however many come.
+    /// Each customer is looked at about once in a hundred ticks; a ceiling's share that had time to fill is
+    /// new.
     void dropIdle() {
         for (std::size_t left = 1 + customers.size() / 100; left > 0 && !customers.empty(); --left) {
             const auto next = customers.upper_bound(lookedAt);
@@ -832,10 +833,9 @@
             const Customer &cons = at->second;
             lookedAt = at->first;
             const Plan &plan = planOf(cons.plan);
-            // A share of a ceiling that had the time to fill is as good as new.
             const double fills = plan.ceilingRate > 0 ? plan.ceilingBurst / plan.ceilingRate * 1000 : 0;
-            const bool idle = now - cons.seenAt > std::max(2 * windowOf(plan), spanOf(fills));
-            if (idle && cons.openHere == 0 && !cons.listed) customers.erase(at);
+            const Span kept = std::max(2 * windowOf(plan), spanOf(fills));
+            if (now - cons.seenAt > kept && cons.openHere == 0 && !cons.listed) customers.erase(at);
         }
     }
 
--- a/src/net/workers.cpp
+++ b/src/net/workers.cpp
@@ -11,7 +11,9 @@
 constexpr Span sweepEvery = milliseconds(500);
 // A worker's machine may close an idle connection sooner than the settings say, and what crosses that close
 // may have run: ours are given back well before, in this part of the time.
-constexpr int idlePart = 2;
+// They may also close them sooner on some days: then in that part of the least time seen, which grows again.
+constexpr int idlePart = 2, idleGrows = 100;
+constexpr Span leastIdle = milliseconds(20);  // sooner is no idling: some answers end their connection
 
 const char *nameOf(Outcome outcome) {
     static constexpr const char *names[] = {"answered",    "errored", "full",       "timed out",
@@ -54,7 +56,11 @@
     std::size_t onBytes(std::string_view bytes) override;
     std::size_t spoilt();
 
-    void onClosed() override { all.drop(*this, Outcome::reset); }
+    void onClosed() override {
+        const Span until = out.empty() ? all.around_.clock.now() : out.front().sentAt;
+        if (open && idleSince > Span{} && !heard) all.closedAfter(until - idleSince);
+        all.drop(*this, Outcome::reset);
+    }
 
     Workers &all;
     const WorkerId worker;
@@ -63,11 +69,14 @@
     std::uint64_t written = 0;
     Span idleSince{};
     Alarms::Key comesUp{};
-    bool open = false;
+    bool open = false, heard = false;  ///< heard: anything since it was last idle
 };
 
 Workers::Workers(Surroundings &around, Answered answered, IsOver isOver)
-    : around_(around), answered_(std::move(answered)), isOver_(std::move(isOver)) {
+    : around_(around),
+      answered_(std::move(answered)),
+      isOver_(std::move(isOver)),
+      idleMost_(around.start.site.idleLimit / idlePart) {
     around_.alarms.set(around_.clock.now() + sweepEvery, [this] { sweep(); });
 }
 
@@ -172,7 +181,7 @@
     for (auto at = pool.links.size(); at > 0; --at) {
         const auto one = pool.links.begin() + static_cast<std::ptrdiff_t>(at) - 1;
         if (!(*one)->open || !(*one)->out.empty()) continue;
-        if ((*one)->stream->hasNews()) {
+        if ((*one)->stream->hasNews() || around_.clock.now() - (*one)->idleSince > idleMost_) {
             pool.links.erase(one);
             continue;
         }
@@ -219,6 +228,7 @@
 std::size_t Workers::Link::onBytes(std::string_view bytes) {
     std::size_t used = 0;
     resp::Reply reply;
+    heard = true;
     while (used < bytes.size()) {
         const auto rest = bytes.substr(used);
         const auto parsed = out.empty() || !(out.front().probe || mayBeReply(rest))
@@ -245,6 +255,7 @@
     }
     if (out.empty()) {
         idleSince = all.around_.clock.now();
+        heard = false;
         if (!all.pools_.at(worker).ready) {
             all.drop(*this, Outcome::reset);
             return 0;
@@ -313,6 +324,11 @@
     }
 }
 
+/// A worker's machine ended a connection that had stood idle for so long.
+void Workers::closedAfter(Span idle) {
+    if (idle >= leastIdle) idleMost_ = std::min(idleMost_, idle / idlePart);
+}
+
 void Workers::closeIdle(WorkerId worker) {
     const auto found = pools_.find(worker);
     if (found == pools_.end()) return;
@@ -324,7 +340,8 @@
 }
 
 void Workers::sweep() {
-    const Span now = around_.clock.now(), most = around_.start.site.idleLimit / idlePart;
+    const Span now = around_.clock.now(), most = idleMost_;
+    idleMost_ = std::min(around_.start.site.idleLimit / idlePart, idleMost_ + idleMost_ / idleGrows);
     around_.alarms.set(now + sweepEvery, [this] { sweep(); });
     for (auto &[id, pool] : pools_) {
         if (most <= Span{}) break;
--- a/tests/test_choice.cpp
+++ b/tests/test_choice.cpp
@@ -448,6 +448,72 @@
     }
 }
 
+TEST_CASE(
+    "a try that later answers of its worker have overtaken is called off, what may not run twice late") {
+    struct Row {
+        const char *name;
+        unsigned route;
+        bool overtaken;
+        Span least, most;  // from the send to the call-off
+    };
+    const Row rows[] = {{"idempotent", 0, true, milliseconds(100), milliseconds(300)},
+                        {"non-idempotent", 2, true, milliseconds(1000), milliseconds(1020)},
+                        {"a worker that says nothing at all", 0, false, {}, {}}};
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        Desk desk;
+        desk.workers(1);
+        const auto answered = [&](std::uint64_t id) {
+            const auto sent = desk.call(id, row.route).all<SendTry>();
+            REQUIRE(sent.size() == 1);
+            desk.pass(milliseconds(10)).ended(id, 0, sent[0].worker, Outcome::answered, true);
+        };
+        for (std::uint64_t id = 10; id < 20; ++id) answered(id);
+        REQUIRE(desk.call(1, row.route).all<SendTry>().size() == 1);
+        const Span begun = desk.now;
+        for (std::uint64_t id = 20; row.overtaken && id < 25; ++id) answered(id);
+        std::optional<Span> took;
+        while (desk.now - begun < milliseconds(1500) && !took)
+            if (!desk.pass(milliseconds(10)).all<CallOffTry>().empty()) took = desk.now - begun;
+        CHECK(took.has_value() == row.overtaken);
+        if (!took) continue;
+        CHECK((*took >= row.least && *took <= row.most));
+        CHECK(desk.pass(milliseconds(50)).all<CallOffTry>().empty());  // once
+        desk.ended(1, 0, WorkerId{1}, Outcome::calledOff);
+        CHECK(desk.all<SendTry>().size() == (row.route == 0 ? 1 : 0));
+        CHECK(desk.all<GiveError>().size() == (row.route == 0 ? 0 : 1));
+    }
+}
+
+TEST_CASE("one reset bars no worker; resets in a row and refusals do, for a growing time") {
+    struct Row {
+        const char *name;
+        std::vector<Outcome> outcomes;
+        Span barred;
+    };
+    const Row rows[] = {
+        {"a reset", {Outcome::reset}, {}},
+        {"two in a row", {Outcome::reset, Outcome::reset}, milliseconds(500)},
+        {"two with an answer between", {Outcome::reset, Outcome::answered, Outcome::reset}, {}},
+        {"a refusal", {Outcome::connectFailed}, milliseconds(250)}};
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        Desk desk;
+        desk.workers(1);
+        std::uint64_t id = 0;
+        for (const Outcome outcome : row.outcomes) {
+            REQUIRE(desk.call(++id, 2).all<SendTry>().size() == 1);
+            desk.ended(id, 0, WorkerId{1}, outcome, outcome == Outcome::answered);
+        }
+        Span waited{};
+        for (; desk.call(++id, 2).all<SendTry>().empty(); waited += milliseconds(10)) {
+            REQUIRE(waited < milliseconds(2000));
+            desk.pass(milliseconds(10));
+        }
+        CHECK((waited >= row.barred && waited <= row.barred + milliseconds(10)));
+    }
+}
+
 TEST_CASE("a worker left out for what can't run again is tried with it later, and taken back") {
     Desk desk;
     desk.workers(2);
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -318,6 +318,29 @@
     CHECK(link.read("x", milliseconds(1500)) == "<closed>");
 }
 
+TEST_CASE("idle connections are given back in half the time after which a worker was seen to end one") {
+    World world;  // 300 ms by its settings
+    const Socket client = world.ready();
+    const auto served = [&](const Socket &link) {
+        link.read("first=0\r\n");
+        link.write(proxied);
+        CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+    };
+    client.write(call("status", 1000));
+    Socket link = world.worker.accept();
+    served(link);
+    std::this_thread::sleep_for(milliseconds(120));
+    link.close();
+    std::this_thread::sleep_for(milliseconds(20));
+    client.write(call("status", 1000));
+    const Socket second = world.worker.accept();
+    served(second);
+    std::this_thread::sleep_for(milliseconds(90));
+    client.write(call("status", 1000));
+    served(world.worker.accept());
+    CHECK(second.read("x") == "<closed>");
+}
+
 TEST_CASE("a pass is reported to the counter, and one without an answer is not repeated") {
     World world;
     const Socket client = world.ready();
