A planned stop ends before the kill, also while a crowd goes on coming

Now nobody new is let in after 0.9 s and the end follows the longest client timeout, 3 s at the most, by 0.55 s.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -19,8 +19,10 @@
 // A planned stop: new connections go on coming for a while; one closed before then would only come back.
 constexpr Span stillComing = milliseconds(500), noneCame = milliseconds(200), lookAgain = milliseconds(20);
 // A client that was told of the end and keeps its side open is not waited for any longer; and the whole stop
-// ends before the kill, which comes 0.7 s after the longest patience at the soonest.
-constexpr Span leastPatience = milliseconds(3000), afterPatience = milliseconds(550);
+// ends before the kill, which comes 0.7 s after the longest patience at the soonest, with that counted as 3 s
+// at the most. Nobody usual comes after the first half second or so, whatever a crowd does.
+constexpr Span mostPatience = milliseconds(3000), afterPatience = milliseconds(550),
+               comingMost = milliseconds(900);
 
 }  // namespace
 
@@ -290,10 +292,11 @@
 void Clients::leaveOn() {
     const Span now = around_.clock.now();
     closing_ = true;
-    if (now - cameAt_ > noneCame) listener_.reset();
-    Span longest = leastPatience;
+    if (now - cameAt_ > noneCame || now - leftAt_ > comingMost) listener_.reset();
+    Span longest{};
     for (const Route &route : around_.start.site.facts.routes)
         longest = std::max(longest, route.clientTimeout);
+    longest = std::min(longest, mostPatience);
     std::erase_if(links_, [&](const auto &one) {
         Link &link = *one.second;
         if (link.finished) return link.queue.waiting() == 0 && now - link.lastUsed > lastWord;
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -610,6 +610,23 @@
     CHECK(endless.read("x") == "-ERR Protocol error\r\n<closed>");
 }
 
+TEST_CASE("a planned stop ends before the kill, whoever goes on coming, and whatever workers do") {
+    World world;  // client timeouts of 1 s: the kill may come after 1.7 s
+    const Socket client = world.ready();
+    client.write(call("status", 60000));
+    const Socket link = world.worker.accept();
+    link.read("first=0\r\n");
+    const auto begun = std::chrono::steady_clock::now();
+    world.stop();
+    std::vector<Socket> crowd;
+    while (!world.over && std::chrono::steady_clock::now() - begun < milliseconds(2500)) {
+        crowd.push_back(Socket::connected(world.port));
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    CHECK(world.over);
+    CHECK(std::chrono::steady_clock::now() - begun < milliseconds(1700));
+}
+
 TEST_CASE(
     "a planned stop answers what it has taken, takes what still comes, and ends with a client that stays") {
     World world;
