--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -27,8 +27,8 @@
 }  // namespace
 
 struct Clients::Link final : Stream::Holder {
-    Link(Clients &clients, ClientId number, Span now)
-        : all(clients), id(number), lastUsed(now), openSince(clients.around_.readAt) {
+    Link(Clients &clients, ClientId number, Span now, Span since)
+        : all(clients), id(number), lastUsed(now), openSince(since) {
         ++all.strangers_;
     }
 
@@ -68,15 +68,19 @@
         return used;
     }
 
-    /// Has sent a command that makes sense.
-    void known() {
-        if (std::exchange(stranger, false)) --all.strangers_;
+    /// Has sent an API call. More connections than a third of our descriptors its side can't hold, and where
+    /// each is used once and kept, calls would wait for one to end: the one idle longest goes before that.
+    void asked() {
+        known = true;
+        if (!std::exchange(stranger, false)) return;
+        --all.strangers_;
+        if (all.links_.size() - all.strangers_ > all.around_.bounds.callers) all.letGo(Among::callers);
     }
 
     /// Whether it has kept us waiting too long, with nothing to wait for on our side.
     bool overdue(Span now) const {
         if (finished) return now - lastUsed > lastWord;
-        return (stranger || begun > 0) && queue.waiting() == 0 && now - lastUsed > patience;
+        return (!known || begun > 0) && queue.waiting() == 0 && now - lastUsed > patience;
     }
 
     void onDrained() override {
@@ -121,7 +125,8 @@
     AnswerQueue queue;
     Span lastUsed, openSince;  ///< the second until something was read
     std::size_t counted = 0, begun = 0;
-    bool stranger = true, paused = false, ending = false, finished = false;
+    bool known = false, stranger = true;  ///< has sent a good command; has sent no API call
+    bool paused = false, ending = false, finished = false;
 };
 
 void Clients::CloseListener::operator()(uv_tcp_t *listener) const {
@@ -153,21 +158,18 @@
     }
 }
 
-/// A crowd that connects and says nothing pushes out its own, not the connections of usual clients; beyond
-/// all of them the one that has been idle longest makes room.
-bool Clients::makeRoom() {
-    if (strangers_ >= around_.bounds.strangers && letGo(true)) return true;
-    return links_.size() < around_.bounds.clients || letGo(false);
-}
-
-/// Lets the one go that was used last of all, unless a command of it already waits to be read.
-bool Clients::letGo(bool strangersOnly) {
+/// Lets the one go that has been idle longest, unless a command of it already waits to be read; what strangers
+/// say counts once, as some never end.
+bool Clients::letGo(Among whom) {
     auto oldest = links_.end();
     for (auto at = links_.begin(); at != links_.end(); ++at) {
         const Link &link = *at->second;
-        if (strangersOnly ? !link.stranger || link.queue.waiting() > 0 : !link.idle()) continue;
+        const bool strangers = whom == Among::strangers;
+        if (whom != Among::all && link.stranger != strangers) continue;
+        if (strangers ? link.queue.waiting() > 0 : !link.idle()) continue;
         const bool older = oldest == links_.end() || link.lastUsed < oldest->second->lastUsed;
-        if (older && !link.stream->hasNews()) oldest = at;
+        const bool mayStay = !strangers || link.openSince != Span::max();
+        if (older && !(mayStay && link.stream->hasNews())) oldest = at;
     }
     if (oldest == links_.end()) return false;
     ++around_.tally.clientsLetGo;
@@ -187,11 +189,20 @@
     }
 }
 
+/// A crowd that connects and says nothing, or PING and no more, pushes out its own, not the connections of
+/// usual clients; one that comes before strangers were read waits for that. Beyond all of them the one that
+/// has been idle longest makes room.
 void Clients::accept() {
-    const bool room = makeRoom();
+    const Span since = waits_ ? *waits_ : around_.readAt;
+    waits_.reset();
+    if (strangers_ >= around_.bounds.strangers && !letGo(Among::strangers)) {
+        waits_ = since;
+        return;
+    }
+    const bool room = links_.size() < around_.bounds.clients || letGo(Among::all);
     const ClientId id{++lastId_};
     cameAt_ = around_.clock.now();
-    auto link = std::make_unique<Link>(*this, id, cameAt_);
+    auto link = std::make_unique<Link>(*this, id, cameAt_, since);
     link->stream = Stream::accept(reinterpret_cast<uv_stream_t *>(listener_.get()), link.get());
     if (!link->stream) return;
     ++(room ? around_.tally.clientsAccepted : around_.tally.clientsTurnedAway);
@@ -204,7 +215,6 @@
         ApiCall call;
         auto wrong = readApiCall(command, around_.start.site, call);
         if (wrong.empty() && book_.holds(call.id)) wrong = "this id is open";
-        if (wrong.empty()) link.known();
         if (wrong.empty() && book_.bytes() + call.body.size() > around_.bounds.pool) {
             ++around_.tally.rateLimited;
             link.say(rateLimitAnswer(std::nullopt));
@@ -218,6 +228,7 @@
             const Place place = link.queue.open();
             const CallTaken taken = call.taken;
             const CallId id = book_.add(std::move(call), link.id, place);
+            link.asked();
             around_.happened.emplace_back(taken);
             std::get<CallTaken>(around_.happened.back()).call = id;
             ++around_.tally.callsTaken;
@@ -226,10 +237,10 @@
         ++around_.tally.badCommands;
         link.say("-ERR " + std::string(wrong) + "\r\n");
     } else if (verb == "PING") {
-        link.known();
+        link.known = true;
         link.say(ready_ ? "+PONG\r\n" : "-LOADING not ready yet\r\n");
     } else if (verb == "INFO") {
-        link.known();
+        link.known = true;
         link.say(proxiedAnswer(around_.tally.text()));
     } else {
         ++around_.tally.badCommands;
@@ -264,6 +275,7 @@
             link.finish(around_.clock.now());
     }
     while (begun_ > around_.bounds.pool) endLongestBegun();
+    if (waits_ && listener_) accept();
 }
 
 /// Of half commands the one that is waited for longest makes room for the others.
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "core/call_book.hpp"
@@ -27,13 +28,13 @@
 
 private:
     struct Link;
+    enum class Among { all, strangers, callers };
     struct CloseListener {
         void operator()(uv_tcp_t *listener) const;
     };
 
     void accept();
-    bool makeRoom();
-    bool letGo(bool strangersOnly);
+    bool letGo(Among whom);
     void sweep();
     void endLongestBegun();
     void obey(Link &link, const resp::Command &command);
@@ -49,6 +50,7 @@
     std::uint64_t lastId_ = 0;
     bool ready_ = false, leaving_ = false, closing_ = false;
     Span leftAt_{}, cameAt_{};
+    std::optional<Span> waits_;  ///< since when one waits to be let in
 };
 
 }  // namespace arrowstile
--- a/src/net/core/bounds.cpp
+++ b/src/net/core/bounds.cpp
@@ -17,6 +17,7 @@
     counters = std::clamp<std::size_t>(all / 12, 4, mostCounters);
     clients = (all - counters) * 3 / 5;
     strangers = clients / 3;
+    callers = std::min<std::size_t>(sockets / 4, clients - strangers);  // clients may hold a third for calls
     workers = all - counters - clients;
     pool = memory / 10;
     leftByOne = std::min<std::size_t>(pool / 2, 2 * 1024 * 1024);
--- a/src/net/core/bounds.hpp
+++ b/src/net/core/bounds.hpp
@@ -9,7 +9,8 @@
 struct Bounds {
     Bounds(unsigned sockets, unsigned memoryMb);
 
-    std::size_t clients, strangers;  ///< connections; of them those that never sent a good command
+    std::size_t clients, strangers;  ///< connections; of them those that never sent an API call
+    std::size_t callers;             ///< of them those that did, while some of these are idle
     std::size_t workers, counters;   ///< connections
     std::size_t pool;                ///< bytes: for bodies kept, for answers not fetched, for commands begun
     std::size_t leftByOne;           ///< bytes that one client may leave with us
--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -320,6 +320,8 @@
         CHECK(bounds.clients + bounds.workers + bounds.counters + 24 <= sockets);
         CHECK(bounds.counters <= 31);
         CHECK(bounds.strangers < bounds.clients / 2 + 1);
+        CHECK(3 * bounds.callers < sockets);  // all that clients can hold for calls
+        CHECK(bounds.callers + bounds.strangers <= bounds.clients);
         if (row.sockets >= 256) CHECK(3 * bounds.clients > row.sockets);  // a third is for open calls
         // Bodies, answers, half commands in buffers up to twice as large, and replies of workers.
         CHECK(4 * bounds.pool < memory / 2);
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -569,28 +569,63 @@
     CHECK(link.read("first=0\r\n").find("c=dispatch") != std::string::npos);
 }
 
-TEST_CASE("a crowd that says nothing takes no descriptor from usual clients") {
-    World world(96);  // 39 clients, 13 of them strangers
-    const Socket first = world.ready();
-    std::vector<Socket> usual, crowd;
-    for (int left = 10; left > 0; --left) {
-        usual.push_back(world.client());
-        usual.back().write("*1\r\n$4\r\nPING\r\n");
-        CHECK(usual.back().read() == "+PONG\r\n");
+/// Whether the API call that a client has written is served, on the worker's one connection or a new one.
+bool served(const World &world, Socket &link, const Socket &client) {
+    if (!link.open() || link.read("first=0\r\n").ends_with("<closed>")) {
+        link = world.worker.accept();
+        link.read("first=0\r\n");
     }
-    for (int left = 100; left > 0; --left) crowd.push_back(world.client());
-    Socket late = world.client();
-    late.write("*1\r\n$4\r\nPING\r\n");
-    for (int left = 100; left > 0; --left) crowd.push_back(world.client());
-    CHECK(late.read() == "+PONG\r\n");
-    usual.push_back(std::move(late));
-    for (const Socket &one : usual) {
-        one.write("*1\r\n$4\r\nPING\r\n");
-        CHECK(one.read() == "+PONG\r\n");
+    link.write(proxied);
+    return client.read("hi\r\n") == "$2\r\nhi\r\n";
+}
+
+bool serves(const World &world, Socket &link, const Socket &client) {
+    client.write(call("status", 1000));
+    return served(world, link, client);
+}
+
+TEST_CASE("a crowd that says nothing, or PING and no more, takes no descriptor from usual clients") {
+    for (const std::string said : {"", "*1\r\n$4\r\nPING\r\n"}) {
+        CAPTURE(said);
+        World world(96);  // 39 clients, 13 of them strangers
+        const Socket first = world.ready();
+        Socket link;
+        std::vector<Socket> usual, crowd;
+        for (int left = 10; left > 0; --left) usual.push_back(world.client());
+        for (const Socket &one : usual) CHECK(serves(world, link, one));
+        for (int left = 200; left > 0; --left) {
+            crowd.push_back(world.client());
+            crowd.back().write(said);
+            if (left != 100) continue;
+            usual.push_back(world.client());
+            usual.back().write(call("status", 1000));
+        }
+        CHECK(served(world, link, usual.back()));
+        for (const Socket &one : usual) CHECK(serves(world, link, one));
+        std::size_t closed = 0;
+        for (const Socket &one : crowd) closed += one.read("x", milliseconds(0)).ends_with("<closed>");
+        CHECK(closed >= 180);
+    }
+}
+
+TEST_CASE("clients that ask once and stay keep nobody out: the one idle longest goes, none with a call") {
+    World world(96);  // at most 24 that have asked, while some are idle
+    const Socket open = world.ready();
+    open.write(call("dispatch", 1000));
+    const Socket held = world.worker.accept();
+    held.read("first=0\r\n");
+    Socket link;
+    std::vector<Socket> once;
+    for (int left = 40; left > 0; --left) {
+        once.push_back(world.client());
+        CHECK(serves(world, link, once.back()));
+    }
+    for (std::size_t at = 0; at < once.size(); ++at) {
+        CAPTURE(at);
+        CHECK(once[at].ready(milliseconds(0)) == (at < 40 - 23));
     }
-    std::size_t closed = 0;
-    for (const Socket &one : crowd) closed += one.ready(milliseconds(0));
-    CHECK(closed >= 180);
+    held.write(proxied);
+    CHECK(open.read("hi\r\n") == "$2\r\nhi\r\n");
 }
 
 TEST_CASE("not ready before discovery has spoken; bad commands get a plain error") {
