--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -158,8 +158,8 @@
     }
 }
 
-/// Lets the one go that has been idle longest, unless a command of it already waits to be read; what strangers
-/// say counts once, as some never end.
+/// Lets the one go that has been idle longest, unless a command of it already waits to be read; what
+/// strangers say counts once, as some never end.
 bool Clients::letGo(Among whom) {
     auto oldest = links_.end();
     for (auto at = links_.begin(); at != links_.end(); ++at) {
