--- a/src/net/core/bounds.cpp
+++ b/src/net/core/bounds.cpp
@@ -20,7 +20,8 @@
     callers = std::min<std::size_t>(sockets / 4, clients - strangers);  // clients may hold a third for calls
     workers = all - counters - clients;
     pool = memory / 10;
-    leftByOne = std::min<std::size_t>(pool / 2, 2 * 1024 * 1024);
+    longestValue = memory / 64;
+    leftByOne = std::max(2 * longestValue, std::min<std::size_t>(pool / 2, 2 * 1024 * 1024));
 }
 
 }  // namespace arrowstile
--- a/src/net/core/bounds.hpp
+++ b/src/net/core/bounds.hpp
@@ -12,8 +12,9 @@
     std::size_t clients, strangers;  ///< connections; of them those that never sent an API call
     std::size_t callers;             ///< of them those that did, while some of these are idle
     std::size_t workers, counters;   ///< connections
-    std::size_t pool;                ///< bytes: for bodies kept, for answers not fetched, for commands begun
-    std::size_t leftByOne;           ///< bytes that one client may leave with us
+    std::size_t pool;          ///< bytes: for bodies kept, answers not fetched, commands begun, replies begun
+    std::size_t longestValue;  ///< of a worker's reply
+    std::size_t leftByOne;     ///< bytes that one client may leave with us
 };
 
 }  // namespace arrowstile
--- a/src/net/core/resp.cpp
+++ b/src/net/core/resp.cpp
@@ -54,7 +54,7 @@
     return Parsed::whole;
 }
 
-Parsed readReply(Reader &in, Reply &reply, int depth) {
+Parsed readReply(Reader &in, Reply &reply, std::size_t longest, int depth) {
     std::string_view line;
     if (const auto parsed = in.line(line); parsed != Parsed::whole) return parsed;
     if (line.empty()) return Parsed::broken;
@@ -70,7 +70,7 @@
     }
     if (!readNumber(reply.text, count)) return Parsed::broken;
     if (reply.kind == Reply::Kind::number) return Parsed::whole;
-    const auto most = reply.kind == Reply::Kind::bulk ? longestValue : mostWords;
+    const auto most = reply.kind == Reply::Kind::bulk ? longest : mostWords;
     if (count < -1 || count > static_cast<long long>(most)) return Parsed::broken;
     if (count == -1) {
         reply.kind = Reply::Kind::null;
@@ -80,7 +80,8 @@
     if (depth > 1) return Parsed::broken;
     reply.items.resize(static_cast<std::size_t>(count));
     for (Reply &item : reply.items) {
-        if (const auto parsed = readReply(in, item, depth + 1); parsed != Parsed::whole) return parsed;
+        if (const auto parsed = readReply(in, item, longest, depth + 1); parsed != Parsed::whole)
+            return parsed;
     }
     return Parsed::whole;
 }
@@ -114,10 +115,10 @@
     return Parsed::whole;
 }
 
-Parsed parseReply(std::string_view in, Reply &reply) {
+Parsed parseReply(std::string_view in, Reply &reply, std::size_t longest) {
     reply = {};
     Reader reader(in);
-    const auto parsed = readReply(reader, reply, 0);
+    const auto parsed = readReply(reader, reply, longest, 0);
     reply.used = reader.used();
     return parsed;
 }
--- a/src/net/core/resp.hpp
+++ b/src/net/core/resp.hpp
@@ -29,8 +29,8 @@
 /// Reads one command, an array of bulk strings, from the front of what has come so far.
 Parsed parseCommand(std::string_view in, Command &command);
 
-/// Reads one reply; an array may not hold arrays deeper than one.
-Parsed parseReply(std::string_view in, Reply &reply);
+/// Reads one reply, with no value over `longest`; an array may not hold arrays deeper than one.
+Parsed parseReply(std::string_view in, Reply &reply, std::size_t longest);
 
 void addArrayHead(std::string &out, std::size_t words);
 void addBulk(std::string &out, std::string_view value);
--- a/src/net/core/worker_reply.cpp
+++ b/src/net/core/worker_reply.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr double mostFigure = 1e9;  // and no less than nought: what is beyond, or no number, is no figure
-constexpr std::size_t longestReply = resp::longestValue + 8 * 1024, replyItems = 3;
+constexpr std::size_t besideValue = 8 * 1024, replyItems = 3;
 
 std::optional<double> figure(std::string_view text, std::string_view name) {
     while (!text.empty()) {
@@ -51,9 +51,9 @@
     return load;
 }
 
-bool mayBeReply(std::string_view begun) {
+bool mayBeReply(std::string_view begun, std::size_t longest) {
     const bool known = begun.empty() || begun[0] == '*' || begun[0] == '-';
-    return known && begun.size() <= longestReply;
+    return known && begun.size() <= longest + besideValue;
 }
 
 WorkerReply readWorkerReply(const resp::Reply &reply, const Site &site) {
--- a/src/net/core/worker_reply.hpp
+++ b/src/net/core/worker_reply.hpp
@@ -22,8 +22,8 @@
 
 WorkerReply readWorkerReply(const resp::Reply &reply, const Site &site);
 
-/// Whether what has come so far can still become a reply to an API call.
-bool mayBeReply(std::string_view begun);
+/// Whether what has come so far can still become a reply to an API call, with a value of `longest` at most.
+bool mayBeReply(std::string_view begun, std::size_t longest);
 
 /// A load report in the order of the site's columns, empty if the text is none.
 std::vector<double> readLoad(std::string_view text, const Site &site);
--- a/src/net/workers.cpp
+++ b/src/net/workers.cpp
@@ -45,6 +45,7 @@
     Link(Workers &workers, WorkerId of) : all(workers), worker(of) {}
 
     ~Link() {
+        all.begun_ -= begun;
         all.around_.alarms.clear(comesUp);
         for (const Out &one : out) all.around_.alarms.clear(one.alarm);
         all.unflushed_.erase(this);
@@ -67,6 +68,7 @@
     Stream::Ptr stream;
     std::deque<Out> out;
     std::uint64_t written = 0;
+    std::size_t begun = 0;  ///< bytes of a reply that is not whole
     Span idleSince{};
     Alarms::Key comesUp{};
     bool open = false, heard = false;  ///< heard: anything since it was last idle
@@ -231,9 +233,10 @@
     heard = true;
     while (used < bytes.size()) {
         const auto rest = bytes.substr(used);
-        const auto parsed = out.empty() || !(out.front().probe || mayBeReply(rest))
+        const auto longest = all.around_.bounds.longestValue;
+        const auto parsed = out.empty() || !(out.front().probe || mayBeReply(rest, longest))
                                 ? resp::Parsed::broken
-                                : resp::parseReply(rest, reply);
+                                : resp::parseReply(rest, reply, longest);
         if (parsed == resp::Parsed::more) break;
         if (parsed == resp::Parsed::broken) return spoilt();
         used += reply.used;
@@ -261,6 +264,8 @@
             return 0;
         }
     }
+    all.begun_ += bytes.size() - used - begun;
+    begun = bytes.size() - used;
     return used;
 }
 
@@ -335,7 +340,15 @@
     std::erase_if(found->second.links, [](const auto &one) { return one->open && one->out.empty(); });
 }
 
+/// Where replies come too large and too many at once for our memory, the longest makes room for the others.
 void Workers::flush() {
+    while (begun_ > around_.bounds.pool) {
+        Link *longest = nullptr;
+        for (auto &[id, pool] : pools_)
+            for (auto &link : pool.links)
+                if (longest == nullptr || link->begun > longest->begun) longest = link.get();
+        longest->spoilt();
+    }
     for (Link *link : std::exchange(unflushed_, {})) link->stream->flush();
 }
 
--- a/src/net/workers.hpp
+++ b/src/net/workers.hpp
@@ -51,7 +51,7 @@
     IsOver isOver_;
     std::map<WorkerId, Pool> pools_;
     std::set<Link *> unflushed_;
-    std::size_t links_ = 0;
+    std::size_t links_ = 0, begun_ = 0;
     Span idleMost_;  ///< so long a connection may stand idle before we give it back
 };
 
--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -108,7 +108,7 @@
     for (const Row &row : rows) {
         CAPTURE(row.in);
         resp::Reply reply;
-        REQUIRE(resp::parseReply(row.in, reply) == row.parsed);
+        REQUIRE(resp::parseReply(row.in, reply, resp::longestValue) == row.parsed);
         if (row.parsed != Parsed::whole) continue;
         const WorkerReply read = readWorkerReply(reply, site);
         CHECK(read.outcome == row.outcome);
@@ -119,6 +119,16 @@
     }
 }
 
+TEST_CASE("how long a worker's value may be is told by the caller, not by the usual length") {
+    const std::string large = "*3\r\n$300000\r\n" + std::string(300000, 'v') + "\r\n$-1\r\n$-1\r\n";
+    resp::Reply reply;
+    CHECK(resp::parseReply(large, reply, 300000) == Parsed::whole);
+    CHECK(reply.items[0].text.size() == 300000);
+    CHECK(resp::parseReply(large.substr(0, 13), reply, 299999) == Parsed::broken);
+    CHECK(mayBeReply(large, 300000));
+    CHECK_FALSE(mayBeReply(large, 200000));
+}
+
 TEST_CASE("an API call passes on unchanged but for the patience, or is turned back with a reason") {
     Site site;
     site.routes = {"status", "order"};
@@ -326,6 +336,8 @@
         // Bodies, answers, half commands in buffers up to twice as large, and replies of workers.
         CHECK(4 * bounds.pool < memory / 2);
         CHECK(bounds.leftByOne <= bounds.pool);
+        CHECK(bounds.longestValue >= resp::longestValue);
+        CHECK(2 * bounds.longestValue <= bounds.leftByOne);  // one is passed on while another waits
     }
 }
 
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -254,6 +254,40 @@
     }
 }
 
+TEST_CASE("large values pass; where too much of them is begun at once the longest makes room") {
+    World world;  // a value of 512 KiB at most, 3.2 MiB of all that are begun
+    const Socket client = world.ready();
+    const auto begun = [](std::size_t size, std::size_t sent) {
+        return "*3\r\n$" + std::to_string(size) + "\r\n" + std::string(sent, 'v');
+    };
+    client.write(call("status", 1000));
+    const Socket link = world.worker.accept();
+    link.read("first=0\r\n");
+    link.write(begun(370000, 370000) + "end\r\n$-1\r\n$-1\r\n");  // three bytes more than it said
+    CHECK(link.read("x") == "<closed>");
+    Socket again = world.worker.accept();
+    again.read("first=0\r\n");
+    again.write(begun(370000, 370000) + "\r\n$-1\r\n$-1\r\n");
+    CHECK(client.read("v\r\n").size() == 9 + 370000 + 2);
+
+    again.close();
+    const std::string at = std::to_string(world.worker.port());  // one worker takes six tries at first
+    world.tell(R"({"name":"v","address":"127.0.0.1:)" + at + R"(","status":"Ready"})");
+    std::vector<Socket> clients, links;
+    for (std::size_t number = 0; number < 8; ++number) {
+        clients.push_back(world.client());
+        clients.back().write(call("dispatch", 3000));
+        links.push_back(world.worker.accept());
+        const Socket &one = links.back();
+        one.read("first=0\r\n");
+        one.write(begun(500000, number == 3 ? 499000 : 460000));
+    }
+    CHECK(links[3].read("x") == "<closed>");
+    CHECK(clients[3].read() == "-ERR failed\r\n");
+    links[4].write(std::string(40000, 'v') + "\r\n$-1\r\n$-1\r\n");
+    CHECK(clients[4].read("v\r\n").size() == 9 + 500000 + 2);
+}
+
 TEST_CASE("a try that is never answered is given up in time, and its connection with it") {
     for (const char *route : {"status", "dispatch"}) {
         CAPTURE(route);
