Names of workers that are gone are forgotten, also in the reader of lists

Test: 100 workers that come and go leave one name; before, 101. An id comes from its name alone, so one that comes back has the same.

--- a/src/net/core/targets.cpp
+++ b/src/net/core/targets.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace arrowstile {
 namespace {
@@ -30,6 +31,18 @@
     return ids_[name] = WorkerId{hash};
 }
 
+/// Names of workers that are gone are not kept: on a long day new ones go on coming. One that comes back gets
+/// the same id again, from its name.
+void TargetReader::forget(const TargetNews &news) {
+    std::set<WorkerId> listed, gone;
+    for (const Target &target : news.targets)
+        (target.entry.state == WorkerState::gone ? gone : listed).insert(target.entry.worker);
+    std::erase_if(names_, [&](const auto &one) {
+        return gone.contains(one.first) || (news.whole && !listed.contains(one.first));
+    });
+    std::erase_if(ids_, [&](const auto &one) { return !names_.contains(one.second); });
+}
+
 TargetNews TargetReader::read(std::string_view text) {
     using nlohmann::json;
     TargetNews news;
@@ -50,6 +63,7 @@
             target.entry.startedAt = std::chrono::milliseconds(since);
             news.targets.push_back(std::move(target));
         }
+        forget(news);
     } catch (const json::exception &error) {
         throw FactsError(std::string("list of workers: ") + error.what());
     }
--- a/src/net/core/targets.hpp
+++ b/src/net/core/targets.hpp
@@ -29,8 +29,12 @@
     /// Throws FactsError on what is no such list.
     TargetNews read(std::string_view text);
 
+    /// How many names are kept.
+    std::size_t size() const { return names_.size(); }
+
 private:
     WorkerId idOf(const std::string &name);
+    void forget(const TargetNews &news);
 
     const Site &site_;
     std::map<std::string, WorkerId> ids_;
--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -283,6 +283,29 @@
     }
 }
 
+TEST_CASE("names of workers that are gone are forgotten, and one that comes back has its id again") {
+    Site site;
+    TargetReader reader(site);
+    const auto list = [&](const char *snapshot, const std::string &name, const char *status) {
+        return reader
+            .read(R"({"index":1,"snapshot":)" + std::string(snapshot) + R"(,"endpoints":[{"name":")" + name +
+                  R"(","status":")" + status + R"("}]})")
+            .targets[0]
+            .entry.worker;
+    };
+    const WorkerId first = list("true", "s-0", "Ready");
+    for (int number = 1; number <= 100; ++number) {
+        const std::string name = "s-" + std::to_string(number);
+        const WorkerId there = list("false", name, "Ready");
+        CHECK(list("false", name, "Terminating") == there);
+        CHECK(list("false", name, "Gone") == there);
+    }
+    CHECK(reader.size() == 1);
+    list("true", "s-101", "Ready");  // a whole list without the others
+    CHECK(reader.size() == 1);
+    CHECK(list("false", "s-0", "Ready") == first);
+}
+
 TEST_CASE("a start document that is wrong is told in one line") {
     const std::string settings =
         R"("settings":{"balancers":1,"classes":[],"rules":{},"permissions":{"keepaliveMs":15000}})";
