Counts that wait for the counter are looked at in parts, and stale ones leave the line

Where the counter takes less than is passed the line grew with every new customer, and each tick copied all of it and asked the urgency of all (TimerFired, the copy for held calls and max_element). Change: a tick looks at a bounded part of the line, in turn; a count of a window or epoch that no estimate reads any more leaves; held calls are found among the calls.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -29,8 +29,9 @@
 constexpr double kNearQuota = 0.5;            // of the burst; below it totals are read again,
 constexpr Span kRefresh = milliseconds(100);  // at most so often
 constexpr Span kBar = milliseconds(250), kBack = milliseconds(2000), kFullFor = milliseconds(3000);
-constexpr int kAdvice = 3;       // so many fit into a latency target,
-constexpr double kJitter = 0.5;  // less by up to this part
+constexpr int kAdvice = 3;              // so many fit into a latency target,
+constexpr double kJitter = 0.5;         // less by up to this part
+constexpr std::size_t kDueLooked = 64;  // of the line of counts, by a tick
 constexpr Span kOpenEpoch = milliseconds(20000), kLongest = milliseconds(60000);
 // To the counter, a second and at once: figures of all gateways together, each has its even part.
 constexpr double kCallsFirst = 600, kCallsLeast = 15, kCallsMost = 6000;
@@ -304,7 +305,8 @@
     }
 
     void list(CustomerId id, Customer &cons) {
-        if (!std::exchange(cons.listed, true)) due.push_back(id);
+        if (std::exchange(cons.listed, true)) return;
+        cons.held.empty() ? due.push_back(id) : due.push_front(id);
     }
 
     /// A refused customer reports nothing, so its totals would stand still while the other gateways go on
@@ -804,24 +806,43 @@
         orderOld = true;
         callOffOvertaken();
         if (!line.empty()) serveLine();
+        std::vector<CustomerId> late;
         // Whatever keeps the counter's answer away, none waits for it longer than the counter may take.
-        for (const CustomerId id : std::vector(due.begin(), due.end())) {
+        for (const auto &[id, rq] : calls)
+            if (rq.held && now - rq.taken > 2 * facts.countTimeout) late.push_back(rq.customer);
+        for (const CustomerId id : late) decideHeld(customers.at(id), false, 0);
+        serveDue();
+        dropIdle();
+    }
+
+    /// Counts that wait for a call, the most telling of a part of the line first. Where the counter takes
+    /// less than is passed the line would grow for as long as that lasts, and with it each tick: so a tick
+    /// looks at a part, and what no estimate reads any more leaves.
+    void serveDue() {
+        mayCall(0, 0);
+        std::vector<std::pair<double, CustomerId>> looked;
+        for (std::size_t left = std::min(due.size(), kDueLooked); left > 0; --left) {
+            const CustomerId id = due.front();
+            due.pop_front();
             Customer &cons = customers.at(id);
-            const Span since = cons.held.empty() ? now : calls.at(cons.held.front()).taken;
-            if (now - since > 2 * facts.countTimeout) decideHeld(cons, false, 0);
+            cons.listed = owes(id, cons);
+            if (cons.listed) looked.emplace_back(-urgency(id), id);
         }
-        mayCall(0, 0);
-        for (int left = static_cast<int>(callsLeft); left > 0 && !due.empty() && mayCall(1, 0); --left) {
-            const auto first =
-                std::ranges::max_element(due, {}, [this](CustomerId id) { return urgency(id); });
-            const CustomerId id = *first;
-            due.erase(first);
+        std::ranges::stable_sort(looked, {}, [](const auto &one) { return one.first; });
+        for (const auto &[urgent, id] : looked) {
             Customer &cons = customers.at(id);
-            cons.listed = false;
-            reportAll(id, cons, Ask::turn);
+            cons.listed = !mayCall(1, 0);
+            if (!cons.listed) reportAll(id, cons, Ask::turn);
+            if (cons.listed) due.push_back(id);
             if (!cons.held.empty()) list(id, cons);
         }
-        dropIdle();
+    }
+
+    bool owes(CustomerId id, Customer &cons) {
+        turn(id, cons);
+        cons.open.turnTo(phased(id, kOpenEpoch) / kOpenEpoch);
+        return !cons.held.empty() || cons.units.current.due || cons.units.previous.due ||
+               cons.open.current.due || cons.open.previous.due;
     }
 
     /// Each customer is looked at about once in a hundred ticks; a ceiling's share that had time to fill is
--- a/tests/test_choice.cpp
+++ b/tests/test_choice.cpp
@@ -58,6 +58,28 @@
     CHECK(early < 150000);
 }
 
+TEST_CASE("while the counter takes less than is passed, the counts that wait don't pile up") {
+    Desk desk;
+    desk.workers(40);
+    long early = 0;
+    for (std::uint64_t id = 1; id <= 9000; ++id) {
+        CallTaken taken;
+        taken.call = {id};
+        taken.plan.value = static_cast<std::uint16_t>(1 + id % 2);
+        taken.customer = {1000 + id};
+        taken.left = milliseconds(4000);
+        const auto sent = desk.tell(taken).all<SendTry>();
+        desk.answerCounts(Outcome::full, 0);
+        for (const SendTry &to : sent)
+            desk.ended(id, 0, to.worker, Outcome::answered, true).answerCounts(Outcome::full, 0);
+        desk.now += milliseconds(10);
+        desk.tell(TimerFired{TimerToken{1}}).answerCounts(Outcome::full, 0);
+        desk.actions = {};
+        if (id == 6000) early = living;  // 60 s: more than a window or an epoch, twice
+    }
+    CHECK(living < early + early / 10);
+}
+
 TEST_CASE("a refused client is told to come back within the latency target of its route") {
     struct Row {
         const char *name;
