--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -34,7 +34,7 @@
 constexpr std::size_t kDueLooked = 64;  // of the line of counts, by a tick
 constexpr Span kOpenEpoch = milliseconds(20000), kLongest = milliseconds(60000);
 // To the counter, a second and at once: figures of all gateways together, each has its even part.
-constexpr double kCallsFirst = 600, kCallsLeast = 15, kCallsMost = 6000;
+constexpr double kCallsFirst = 600, kCallsLeast = 15;
 constexpr double kCallsMore = 1200, kCallsCut = 0.7, kCallsAtOnce = 60;
 
 constexpr double kFewest = 8;                         // workers that a gateway uses at least
@@ -103,7 +103,7 @@
 };
 
 enum class Meaning : std::uint8_t { units, open };
-enum class Ask : std::uint8_t { pass, read, turn };  // why the counter is called
+enum class Ask : std::uint8_t { pass, read, turn, first };  // why the counter is called
 
 /// The two windows of the estimate, or two epochs of an open count.
 struct Pair {
@@ -126,6 +126,7 @@
     int openHere = 0;
     Span fullAt{}, openRest{};  // when the open cap was last full, and how long its share rests
     std::deque<CallId> held;    // for the counter's answer; the first so many are counted by the call out
+    std::deque<CallId> asking;  // wait for the first totals of the customer
     std::size_t heldInCall = 0;
     bool known = false, listed = false;  // by the counter's replies; among those with a count to report
     double othersPerMs = 0;  // their use by the last totals, never above the rate: they are held to it too
@@ -276,7 +277,7 @@
         const bool read = ask == Ask::read;
         if (!facts.mayCount || count.index < 0 || count.callOut || !(count.due || read)) return;
         Customer &cons = customers.at(id);
-        const bool asked = meaning == Meaning::open && !cons.held.empty();
+        const bool asked = ask == Ask::first || (meaning == Meaning::open && !cons.held.empty());
         if (count.unsent == 0 && !read && !asked) return;
         // Short of calls, a pass waits for its turn by urgency, as those in line before it do.
         const bool waits = read || (ask == Ask::pass && !asked && !due.empty());
@@ -290,7 +291,7 @@
         actions.push_back(AddCount{name, count.unsent, std::min(kLongest, 3 * length), wait});
         count.calling = std::exchange(count.unsent, 0);
         count.callOut = true;
-        if (asked) cons.heldInCall = cons.held.size();
+        if (meaning == Meaning::open) cons.heldInCall = cons.held.size();
     }
 
     /// Short of calls, those go first whose untold use is large beside what the customer has left.
@@ -370,6 +371,7 @@
             count->unknown += added;
         }
         if (meaning == Meaning::open && count == &cons.open.current) decideHeld(cons, ok, count->total);
+        if (!cons.units.current.callOut && !cons.units.previous.callOut) decideAsking(id, cons);
         reportAll(id, cons);
     }
 
@@ -392,7 +394,7 @@
         countFailing = !ok;
         if (ok) countOkAt = now;
         if (ok && 4 * latency < facts.countTimeout) {
-            callsASecond = std::min(part(kCallsMost), callsASecond + part(kCallsMore) / callsASecond);
+            callsASecond = callsASecond + part(kCallsMore) / callsASecond;
         } else if ((!ok || 2 * latency > facts.countTimeout) && now - paceCutAt > facts.countTimeout) {
             callsASecond = std::max(part(kCallsLeast), callsASecond * kCallsCut);
             callsLeft = std::min(callsLeft, 1.0);
@@ -457,6 +459,45 @@
         }
     }
 
+    /// Before its first reply a gateway may pass a share of the limit, one call at least: in a large set that
+    /// is a multiple of the limit. Where the share is under this call, and no total of either window is
+    /// known, the call waits for the totals once, as an isolate does for its first read; then the cache
+    /// decides.
+    bool asksFirst(const Customer &cons, const CallTaken &rq) const {
+        const Plan &plan = planOf(rq.plan);
+        const bool cold = !cons.units.current.heard && !cons.units.previous.heard;
+        return limitsRate(plan) && plan.openCap == 0 && cold && plan.burst / cons.gateways < 1 && trusted() &&
+               rq.left > 4 * facts.countTimeout;
+    }
+
+    void ask(CustomerId id, Customer &cons, Call &rq) {
+        const Span length = windowOf(planOf(cons.plan));
+        cons.asking.push_back(rq.call);
+        rq.held = true;
+        cons.units.current.unsent += rq.units;
+        cons.units.current.due = true;
+        report(id, Meaning::units, cons.units.current, length, Ask::first);
+        if (!cons.units.current.callOut) return decideAsking(id, cons);
+        report(id, Meaning::units, cons.units.previous, length, Ask::read);
+    }
+
+    void decideAsking(CustomerId id, Customer &cons) {
+        const auto asking = std::exchange(cons.asking, {});
+        if (asking.empty()) return;
+        for (const CallId one : asking) cons.units.current.unsent -= calls.at(one).units;
+        cons.units.current.due = true;
+        for (const CallId one : asking) {
+            Call &rq = calls.at(one);
+            rq.held = false;
+            if (!rq.closed && admits(id, cons, rq.units)) {
+                start(one, rq, cons);
+            } else {
+                if (!rq.closed) rateLimit(one, rq.route);
+                calls.erase(one);
+            }
+        }
+    }
+
     void countOpen(Call &rq, int step) {
         const auto found = customers.find(rq.customer);
         if (found == customers.end() || planOf(rq.plan).openCap == 0) return;
@@ -479,15 +520,22 @@
         if (calls.contains(taken.call)) return;
         if (taken.route.value >= routes.size()) return actions.push_back(GiveError{taken.call});
         Customer &cons = customerOf(taken);
-        if (!admits(taken.customer, cons, taken.units) || !underCap(taken.customer, cons) ||
+        turn(taken.customer, cons);
+        const bool asks = asksFirst(cons, taken);
+        if ((!asks && !admits(taken.customer, cons, taken.units)) || !underCap(taken.customer, cons) ||
             !underCeiling(cons, taken.units)) {
             rateLimit(taken.call, taken.route);
             refresh(taken.customer, cons);
             return;
         }
         Call &rq = calls[taken.call] = {taken, now, now + taken.left};
-        // With the cap lately full any cache is too old: the try is counted first and held for the answer.
-        rq.held = nearCap(cons) && trusted() && taken.left > 4 * facts.countTimeout;
+        if (asks) return ask(taken.customer, cons, rq);
+        // With the cap lately full any cache is too old: the try is counted first and held for the answer. So
+        // is a total older than a try lasts, where an even share of the cap would be under one.
+        const Count &open = cons.open.current;
+        const bool old = planOf(rq.plan).openCap < cons.gateways && ms(now - open.heardAt) > usual;
+        rq.held = planOf(rq.plan).openCap > 0 && (nearCap(cons) || old) && trusted() &&
+                  taken.left > 4 * facts.countTimeout;
         if (!rq.held) return start(taken.call, rq, cons);
         list(taken.customer, cons);
         cons.held.push_back(taken.call);
@@ -810,7 +858,10 @@
         // Whatever keeps the counter's answer away, none waits for it longer than the counter may take.
         for (const auto &[id, rq] : calls)
             if (rq.held && now - rq.taken > 2 * facts.countTimeout) late.push_back(rq.customer);
-        for (const CustomerId id : late) decideHeld(customers.at(id), false, 0);
+        for (const CustomerId id : late) {
+            decideHeld(customers.at(id), false, 0);
+            decideAsking(id, customers.at(id));
+        }
         serveDue();
         dropIdle();
     }
--- a/tests/test_choice.cpp
+++ b/tests/test_choice.cpp
@@ -80,6 +80,68 @@
     CHECK(living < early + early / 10);
 }
 
+TEST_CASE("in a large set a customer not heard of waits for the counter's totals once") {
+    struct Row {
+        const char *name;
+        unsigned gateways, plan;
+        Outcome outcome;
+        double current, previous;
+        bool held, passes;
+    };
+    const Row rows[] = {
+        {"small set: the cache decides at once", 3, 1, Outcome::answered, 0, 0, false, true},
+        {"room in both windows", 200, 1, Outcome::answered, 3, 4, true, true},
+        {"this window is full", 200, 1, Outcome::answered, 22, 0, true, false},
+        {"the last one was full, this one is young", 200, 1, Outcome::answered, 4, 200, true, false},
+        {"the counter turns the call away", 200, 1, Outcome::full, 0, 0, true, true},
+        {"open cap, room", 200, 2, Outcome::answered, 1, 0, true, true},
+        {"open cap, full", 200, 2, Outcome::answered, 3, 0, true, false},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        SiteFacts facts = smallSite();
+        facts.gateways = row.gateways;
+        Desk desk(facts);
+        desk.workers(12);
+        CallTaken taken;
+        taken.call = {1};
+        taken.customer = {9};
+        taken.plan.value = static_cast<std::uint16_t>(row.plan);
+        taken.gateways = row.gateways;
+        taken.left = milliseconds(4000);
+        desk.tell(taken);
+        CHECK(desk.all<SendTry>().size() + desk.finals() == (row.held ? 0 : 1));
+        if (!row.held) continue;
+        const auto asked = desk.all<AddCount>();
+        REQUIRE(asked.size() >= 1);
+        std::size_t sent = 0, refused = 0;
+        for (const AddCount &add : asked) {
+            const double total = add.amount > 0 ? row.current : row.previous;
+            desk.tell(CountAnswered{add.name, row.outcome, total, milliseconds(2)});
+            sent += desk.all<SendTry>().size();
+            refused += desk.all<RateLimit>().size();
+        }
+        CHECK(sent == (row.passes ? 1 : 0));
+        CHECK(refused == (row.passes ? 0 : 1));
+    }
+}
+
+TEST_CASE("a call that waits for totals is decided though the counter never answers") {
+    SiteFacts facts = smallSite();
+    facts.gateways = 200;
+    Desk desk(facts);
+    desk.workers(12);
+    CallTaken taken;
+    taken.call = {1};
+    taken.customer = {9};
+    taken.plan.value = 1;
+    taken.gateways = 200;
+    taken.left = milliseconds(4000);
+    CHECK(desk.tell(taken).all<SendTry>().empty());
+    desk.pass(2 * facts.countTimeout + milliseconds(20));
+    CHECK(desk.all<SendTry>().size() + desk.finals() == 1);
+}
+
 TEST_CASE("a refused client is told to come back within the latency target of its route") {
     struct Row {
         const char *name;
