An ask that the counter turns away is decided with that answer

Found by the table of cases of the cold entries: the next add of the same name went out before the read's answer, so the call waited for two time-outs.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -371,7 +371,7 @@
             count->unknown += added;
         }
         if (meaning == Meaning::open && count == &cons.open.current) decideHeld(cons, ok, count->total);
-        if (!cons.units.current.callOut && !cons.units.previous.callOut) decideAsking(id, cons);
+        if (!ok || !(cons.units.current.callOut || cons.units.previous.callOut)) decideAsking(id, cons);
         reportAll(id, cons);
     }
 
--- a/tests/test_choice.cpp
+++ b/tests/test_choice.cpp
@@ -98,7 +98,7 @@
         {"open cap, full", 200, 2, Outcome::answered, 3, 0, true, false},
     };
     for (const Row &row : rows) {
-        CAPTURE(row.name);
+        CAPTURE(std::string(row.name));
         SiteFacts facts = smallSite();
         facts.gateways = row.gateways;
         Desk desk(facts);
