A planned stop answers what it still owes before it ends

Ruled out: closes that cross a request (no link ended with unread bytes), the listener's queue. Lines: Clients::leaveOn, links_.clear() after 3 s (the longest patience is counted as 3 s at most) and 550 ms: clients are more patient than that (4.4 s here). Change: at that moment each call still owed is answered as errored, its try is called off, and 60 ms later the rest is closed. Test: the planned stop with a client that would wait a minute; without the change it reads a close and no answer.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -20,9 +20,10 @@
 constexpr Span stillComing = milliseconds(500), noneCame = milliseconds(200), lookAgain = milliseconds(20);
 // A client that was told of the end and keeps its side open is not waited for any longer; and the whole stop
 // ends before the kill, which comes 0.7 s after the longest patience at the soonest, with that counted as 3 s
-// at the most. Nobody usual comes after the first half second or so, whatever a crowd does.
+// at the most. Nobody usual comes after the first half second or so, whatever a crowd does. A client may be
+// more patient than that: what is owed then is answered while there is time to fetch it.
 constexpr Span mostPatience = milliseconds(3000), afterPatience = milliseconds(550),
-               comingMost = milliseconds(900);
+               comingMost = milliseconds(900), lastFetch = milliseconds(60);
 
 }  // namespace
 
@@ -301,6 +302,18 @@
     around_.alarms.set(leftAt_ + stillComing, [this] { leaveOn(); });
 }
 
+/// The process ends before these clients stop waiting. A try of theirs may be out, so they are told that they
+/// errored, which promises nothing; one that is dropped unanswered would be lost.
+void Clients::answerRest() {
+    for (const auto &[id, link] : links_) {
+        for (const CallId call : book_.owed(id)) {
+            answer(*book_.end(call), erroredAnswer());
+            ++around_.tally.errored;
+            around_.happened.emplace_back(ClientGone{call});
+        }
+    }
+}
+
 void Clients::leaveOn() {
     const Span now = around_.clock.now();
     closing_ = true;
@@ -315,7 +328,8 @@
         if (link.idle()) link.finish(now);
         return false;
     });
-    if (now - leftAt_ > longest + afterPatience) {
+    if (now - leftAt_ > longest + afterPatience) answerRest();
+    if (now - leftAt_ > longest + afterPatience + lastFetch) {
         listener_.reset();
         links_.clear();
     }
--- a/src/net/clients.hpp
+++ b/src/net/clients.hpp
@@ -40,6 +40,7 @@
     void obey(Link &link, const resp::Command &command);
     void end(ClientId id);
     void leaveOn();
+    void answerRest();
 
     Surroundings &around_;
     CallBook &book_;
--- a/src/net/core/call_book.cpp
+++ b/src/net/core/call_book.cpp
@@ -52,10 +52,14 @@
     return ended;
 }
 
-std::vector<CallId> CallBook::drop(ClientId client) {
+std::vector<CallId> CallBook::owed(ClientId client) const {
     const auto found = byClient_.find(client);
     if (found == byClient_.end()) return {};
-    const std::vector<CallId> gone(found->second.begin(), found->second.end());
+    return {found->second.begin(), found->second.end()};
+}
+
+std::vector<CallId> CallBook::drop(ClientId client) {
+    const std::vector<CallId> gone = owed(client);
     for (const CallId id : gone) end(id);
     return gone;
 }
--- a/src/net/core/call_book.hpp
+++ b/src/net/core/call_book.hpp
@@ -47,6 +47,8 @@
     std::optional<InHand> end(CallId id);
     /// The client has gone: its calls end without an answer.
     std::vector<CallId> drop(ClientId client);
+    /// The calls that this client is still owed an answer to, in the order in which they came.
+    std::vector<CallId> owed(ClientId client) const;
     std::size_t size() const { return calls_.size(); }
     /// Of the bodies that are kept for a further try.
     std::size_t bytes() const { return bytes_; }
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -694,6 +694,7 @@
     }
     CHECK(world.over);
     CHECK(std::chrono::steady_clock::now() - begun < milliseconds(1700));
+    CHECK(client.read("x") == "-ERR failed\r\n<closed>");  // though it would have waited for a minute
 }
 
 TEST_CASE(
