Each of many gateways looks for the counter about once a second while it fails

Cause: learnPace() cuts the pace to an even part of 15 a second for all, with 285 gateways one call in 19 s, and only an answered call lets it grow. docs/oncall.md promises that the pace climbs within a second of its return. Change: the least pace of a gateway is one a second. Test: 300 gateways, a silent counter that comes back; without the change none calls within two seconds.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -34,7 +34,7 @@
 constexpr std::size_t kDueLooked = 64;  // of the line of counts, by a tick
 constexpr Span kOpenEpoch = milliseconds(20000), kLongest = milliseconds(60000);
 // To the counter, a second and at once: figures of all gateways together, each has its even part.
-constexpr double kCallsFirst = 600, kCallsLeast = 15;
+constexpr double kCallsFirst = 600, kCallsLeast = 15, kLookAgain = 1;  // the last of each gateway
 constexpr double kCallsMore = 1200, kCallsCut = 0.7, kCallsAtOnce = 60;
 
 constexpr double kFewest = 8;                         // workers that a gateway uses at least
@@ -382,6 +382,8 @@
     /// Paced by what the counter takes: it works on calls that nobody waits for too, so that too many bring
     /// less. Holds against a slow, full, silent or refusing counter and against very many gateways.
     double part(double ofAll) const { return ofAll / facts.gateways; }
+    /// However many gateways there are, each sees within a second or so that the counter is back.
+    double leastCalls() const { return std::max(kLookAgain, part(kCallsLeast)); }
     double atOnce() const { return std::max(4.0, part(kCallsAtOnce)); }
 
     bool mayCall(double spare, double spent = 1) {
@@ -396,7 +398,7 @@
         if (ok && 4 * latency < facts.countTimeout) {
             callsASecond = callsASecond + part(kCallsMore) / callsASecond;
         } else if ((!ok || 2 * latency > facts.countTimeout) && now - paceCutAt > facts.countTimeout) {
-            callsASecond = std::max(part(kCallsLeast), callsASecond * kCallsCut);
+            callsASecond = std::max(leastCalls(), callsASecond * kCallsCut);
             callsLeft = std::min(callsLeft, 1.0);
             paceCutAt = now;
         }
--- a/tests/test_choice.cpp
+++ b/tests/test_choice.cpp
@@ -126,6 +126,37 @@
     }
 }
 
+TEST_CASE("each of many gateways sees within two seconds that the counter is back") {
+    SiteFacts facts = smallSite();
+    facts.gateways = 300;
+    Desk desk(facts);
+    desk.workers(12);
+    std::uint64_t id = 0;
+    std::size_t calls = 0;
+    const auto second = [&](Outcome outcome) {
+        calls = 0;
+        for (int i = 0; i < 20; ++i) {
+            CallTaken taken;
+            taken.call = {++id};
+            taken.customer = {id};
+            taken.plan.value = 1;
+            taken.gateways = 2;
+            taken.left = milliseconds(4000);
+            const auto sent = desk.tell(taken).all<SendTry>();
+            calls += desk.all<AddCount>().size();
+            desk.answerCounts(outcome, 1);
+            for (const SendTry &to : sent) desk.ended(id, 0, to.worker, Outcome::answered, true);
+            desk.pass(milliseconds(50));
+            calls += desk.all<AddCount>().size();
+            desk.answerCounts(outcome, 1);
+        }
+    };
+    for (int i = 0; i < 6; ++i) second(Outcome::timedOut);
+    CHECK(calls <= 2);  // a second; all of them no more than the counter takes
+    for (int i = 0; i < 2; ++i) second(Outcome::answered);
+    CHECK(calls >= 5);
+}
+
 TEST_CASE("a call that waits for totals is decided though the counter never answers") {
     SiteFacts facts = smallSite();
     facts.gateways = 200;
