--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,19 @@
 # The tasks of everyday work; README.md tells what they need.
 JOBS ?= 4
 
-.PHONY: build test lint run clean
+.PHONY: build lab test lint run clean
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
 	cmake --build build -j$(JOBS)
 
+# The laboratory, beside the daemon: needs two more libraries.
+lab:
+	cmake -B build-lab -DCMAKE_BUILD_TYPE=Release -DARROWSTILE_LAB=ON
+	cmake --build build-lab -j$(JOBS) --target arrowstile-lab
+
 test:
-	cmake -B build-test -DBUILD_TESTING=ON -DARROWSTILE_STRICT=ON -DARROWSTILE_SANITIZE=ON -DCMAKE_BUILD_TYPE=Debug
+	cmake -B build-test -DBUILD_TESTING=ON -DARROWSTILE_LAB=ON -DARROWSTILE_STRICT=ON -DARROWSTILE_SANITIZE=ON -DCMAKE_BUILD_TYPE=Debug
 	cmake --build build-test -j$(JOBS)
 	ctest --test-dir build-test --output-on-failure
 
@@ -20,4 +25,4 @@
 	python3 examples/toy_backend.py & toy=$$!; trap "kill $$toy" EXIT; EDGE_CONFIG=examples/start.json build/arrowstile
 
 clean:
-	rm -rf build build-test
+	rm -rf build build-lab build-test
