Laboratory: a checker for starvation, late lists and connections, spoilt answers; lists to 4,096

Change: for each route and plan the share of what a policy that sees everything could have served, checked against expect.least_share; three kinds of fault; caps of 500 raised. The checker is fed a planted starvation; a run of 1,100 gateways and nodes starts.

--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -79,7 +79,7 @@
         const Report report = play(scenario, seed);
         std::cout << (json ? jsonReport(scenario, seed, report) : plainReport(scenario, seed, report));
         if (!csv.empty()) write(csv, spansCsv(report));
-        return report.broken.empty() ? kKept : kBroken;
+        return report.broken.empty() && report.starved.empty() ? kKept : kBroken;
     } catch (const ScenarioError &error) {
         std::cerr << error.what() << "\n";
         return kBadUse;
--- a/src/lab/model/fleet.cpp
+++ b/src/lab/model/fleet.cpp
@@ -10,6 +10,8 @@
 using std::chrono::seconds;
 
 constexpr Span kSpan = seconds(5);             // of the report
+constexpr Span kCell = seconds(1);             // of what could be served
+constexpr double kTells = 50;                  // calls: fewer say nothing of a route or plan
 constexpr Span kTail = seconds(6);             // after the last arrival: longer than any client waits
 constexpr Span kNoticed = milliseconds(1500);  // clients go on coming to a dead gateway
 
@@ -63,6 +65,8 @@
             agenda_.at(start_ + fault.at + fault.length, [this, fault] { finish(fault); });
         }
         arrive();
+        for (std::size_t at = 0; at < report_.fared.front().asked.size(); ++at)
+            agenda_.at(start_ + kCell * (at + 1), [this, at] { weigh(at); });
         agenda_.run(start_ + s_.length + kTail);
         return report();
     }
@@ -85,10 +89,34 @@
             report_.plans.push_back({s_.plans[plan].name, 0, 0});
         }
         for (const RouteTraffic &route : s_.routes) report_.routes.push_back({route.name, 0, 0});
+        const auto cells = static_cast<std::size_t>((s_.length + kCell - Span{1}) / kCell);
+        const std::vector<double> none(cells, 0);
+        for (const RouteTraffic &route : s_.routes)
+            report_.fared.push_back({"route " + route.name, none, none, none});
+        for (const PlanTraffic &plan : s_.plans)
+            report_.fared.push_back({"plan " + plan.name, none, none, none});
+        workAsked_ = none;
         for (Span at{}; at < s_.length; at += kSpan)
             report_.spans.push_back({std::to_string(at / seconds(1)) + " s", 0, 0});
     }
 
+    /// A policy that sees everything would serve all groups alike what the nodes can do.
+    void weigh(std::size_t cell) {
+        double able = 0;
+        for (const Machine &machine : nodes_) able += machine.node->able(agenda_.now()) * inMs(kCell);
+        const double part = workAsked_[cell] > able ? able / workAsked_[cell] : 1;
+        for (Fared &group : report_.fared) group.could[cell] = part * group.asked[cell];
+    }
+
+    /// A call within quotas that was asked, or served in time, in its route's and its plan's count.
+    void count(const Wish &wish, std::vector<double> Fared::*what) {
+        const auto cell =
+            std::min(workAsked_.size() - 1, static_cast<std::size_t>((wish.first - start_) / kCell));
+        (report_.fared[wish.route].*what)[cell] += 1;
+        (report_.fared[s_.routes.size() + customers_[wish.customer].plan].*what)[cell] += 1;
+        if (what == &Fared::asked) workAsked_[cell] += s_.routes[wish.route].workMs;
+    }
+
     std::size_t addNode(Span startedAt) {
         const auto number = static_cast<std::uint32_t>(nodes_.size() + 1);
         Machine made;
@@ -182,7 +210,14 @@
         const Job job{JobId{attempt}, what.call.value, chance_.exponential(route.workMs),
                       facts.effect == Effect::tokened, facts.repeatWindow};
         ++customers_[wish.customer].open;
-        agenda_.at(agenda_.now() + s_.oneWay, [this, at = call.node, job] { arriveAt(at, job); });
+        Span comesUp{};
+        if (connectsLate_ > 0 && call.node < lateNodes_) comesUp = fromMs(chance_.part() * connectsLate_);
+        if (comesUp > s_.facts.connectTimeout)
+            agenda_.at(agenda_.now() + s_.facts.connectTimeout,
+                       [this, attempt] { tryOver(attempt, Outcome::connectFailed, {}); });
+        else
+            agenda_.at(agenda_.now() + comesUp + s_.oneWay,
+                       [this, at = call.node, job] { arriveAt(at, job); });
         agenda_.at(std::max(what.notPast, agenda_.now()), [this, attempt, at = call.node] {
             if (attempts_.contains(attempt)) nodes_[at].node->callOff(JobId{attempt});
             tryOver(attempt, Outcome::timedOut, {});
@@ -248,7 +283,8 @@
                 if (done.ran)
                     note(Step::ran, 0, found != attempts_.end() ? found->second.call : callOf_[done.id.value],
                          machine.entry.worker.value);
-                const Outcome outcome = done.fate == Fate::answered ? Outcome::answered : Outcome::errored;
+                const bool good = done.fate == Fate::answered && chance_.part() >= spoilt_;
+                const Outcome outcome = good ? Outcome::answered : Outcome::errored;
                 if (!machine.node->isSilent()) back(done.id, outcome, done.queue);
             }
             wake(at);
@@ -269,21 +305,28 @@
     void change(std::size_t at, WorkerState state) {
         nodes_[at].entry.state = state;
         const WorkerListed news{ListNews::changes, 1, {nodes_[at].entry}};
-        agenda_.at(agenda_.now() + s_.listLate, [this, news, at, state] {
-            for (unsigned rank = 0; rank < gateways_.size(); ++rank) {
+        const unsigned late = lateGateways_;
+        const auto hear = [this, news, at, state](unsigned from, unsigned to) {
+            for (unsigned rank = from; rank < to; ++rank) {
                 if (!gateways_[rank].alive) continue;
                 if (state != WorkerState::ready) note(Step::told, rank, 0, at + 1);
                 tell(rank, news);
             }
-        });
+        };
+        if (late > 0)
+            agenda_.at(agenda_.now() + s_.listLate + fromMs(listsLate_), [hear, late] { hear(0, late); });
+        agenda_.at(agenda_.now() + s_.listLate,
+                   [this, hear, late] { hear(late, static_cast<unsigned>(gateways_.size())); });
     }
 
     // ---- faults ----
 
     template <class Act>
     void some(double part, std::size_t count, Act act) {
-        const auto most = static_cast<std::size_t>(part * static_cast<double>(count) + 0.5);
-        for (std::size_t i = 0; i < most; ++i) act(i);
+        for (std::size_t i = 0; i < partOf(part, count); ++i) act(i);
+    }
+    static std::size_t partOf(double part, std::size_t count) {
+        return static_cast<std::size_t>(part * static_cast<double>(count) + 0.5);
     }
 
     void begin(const Fault &fault) {
@@ -319,6 +362,15 @@
             case FaultKind::gatewaysKilled:
                 some(fault.part, gateways_.size(), [this](std::size_t i) { kill(static_cast<unsigned>(i)); });
                 break;
+            case FaultKind::listsLate:
+                lateGateways_ = static_cast<unsigned>(partOf(fault.part, gateways_.size()));
+                listsLate_ = fault.size;
+                break;
+            case FaultKind::connectsLate:
+                lateNodes_ = partOf(fault.part, nodes_.size());
+                connectsLate_ = fault.size;
+                break;
+            case FaultKind::answersSpoilt: spoilt_ = fault.size; break;
             case FaultKind::trafficJump: jump_ = fault.size; break;
         }
     }
@@ -344,6 +396,9 @@
                 some(fault.part, gateways_.size(),
                      [this](std::size_t i) { startGateway(static_cast<unsigned>(i)); });
                 break;
+            case FaultKind::listsLate: lateGateways_ = 0; break;
+            case FaultKind::connectsLate: connectsLate_ = 0; break;
+            case FaultKind::answersSpoilt: spoilt_ = 0; break;
             case FaultKind::trafficJump: jump_ = 1; break;
             case FaultKind::counterEmpty:
             case FaultKind::nodesReplaced: break;
@@ -398,6 +453,7 @@
                 report_.routes[wish->route].asked += wish->worth;
                 report_.plans[plan].asked += wish->worth;
                 report_.spans[spanOf(wish->first)].asked += wish->worth;
+                count(*wish, &Fared::asked);
             }
             come(wish);
             arrive();
@@ -475,6 +531,7 @@
                 report_.routes[wish.route].served += wish.worth;
                 report_.plans[customers_[wish.customer].plan].served += wish.worth;
                 report_.spans[spanOf(wish.first)].served += wish.worth;
+                count(wish, &Fared::served);
             }
         }
         if (served) {
@@ -537,6 +594,7 @@
             if (machine.node->fell())
                 report_.broken.push_back("cold nodes: node " + std::to_string(machine.entry.worker.value) +
                                          " fell over");
+        if (s_.leastShare > 0) report_.starved = starved(report_.fared, s_.leastShare, kTells, kCell);
         report_.counterCalls = counter_.calls();
         report_.counterTurnedAway = counter_.turnedAway();
         report_.events = agenda_.done();
@@ -567,7 +625,11 @@
     std::map<std::uint64_t, Attempt> attempts_;
     std::map<std::uint64_t, std::uint64_t> callOf_;
     std::uint64_t lastCall_ = 0, lastAttempt_ = 0;
-    double jump_ = 1;
+    double jump_ = 1, spoilt_ = 0;
+    double listsLate_ = 0, connectsLate_ = 0;  // milliseconds
+    unsigned lateGateways_ = 0;
+    std::size_t lateNodes_ = 0;
+    std::vector<double> workAsked_;
     std::vector<Line> record_;
     Report report_;
 };
--- a/src/lab/model/fleet.hpp
+++ b/src/lab/model/fleet.hpp
@@ -6,6 +6,7 @@
 #include "counter.hpp"
 #include "node.hpp"
 #include "rules.hpp"
+#include "starvation.hpp"
 
 namespace arrowstile::lab {
 
@@ -20,6 +21,9 @@
     nodesFail,
     nodesReplaced,
     gatewaysKilled,
+    listsLate,
+    connectsLate,
+    answersSpoilt,
     trafficJump
 };
 
@@ -27,7 +31,7 @@
     FaultKind kind{};
     Span at{}, length{};
     double part = 0;  ///< of nodes or gateways
-    double size = 1;  ///< how many times slower, or more; the share that fails
+    double size = 1;  ///< how many times slower, or more; the share that fails; milliseconds, of what is late
 };
 
 struct RouteTraffic {
@@ -58,6 +62,7 @@
     double uneven = 0;  ///< the n-th gateway of a customer's set gets 1 / n^uneven of what the first does
     Span length = std::chrono::seconds(20);
     std::vector<Fault> faults;
+    double leastShare = 0;  ///< of what could be served, for each route and plan; 0: not checked
 };
 
 struct Share {
@@ -75,6 +80,8 @@
     std::vector<Share> routes, plans, spans;
     std::vector<double> latenciesMs;  ///< of calls served, from when the client sent them
     std::vector<std::string> broken;
+    std::vector<Fared> fared;          ///< routes, then plans
+    std::vector<std::string> starved;  ///< those that got less than the scenario's least share
     double ratio() const;
 };
 
--- a/src/lab/model/node.cpp
+++ b/src/lab/model/node.cpp
@@ -22,6 +22,11 @@
     return spec_.coldShare + (1 - spec_.coldShare) * warm;
 }
 
+double Node::able(Span now) const {
+    if (!alive_ || silent_ || draining_) return 0;
+    return capacity(now) * spec_.cores * spec_.speed / slower_;
+}
+
 /// All work that comes to a cold node counts against what it can do in the span, also what it turns away.
 void Node::push(Span now, double workMs) {
     if (!cold(now) || spec_.fallMultiple <= 0) return;
--- a/src/lab/model/node.hpp
+++ b/src/lab/model/node.hpp
@@ -61,6 +61,9 @@
     void slower(double times) { slower_ = times; }
     void failing(double share) { failing_ = share; }
 
+    /// Work it can do a millisecond, for whoever may still send to it.
+    double able(Span now) const;
+
     bool alive() const { return alive_; }
     bool fell() const { return fell_; }
     bool draining() const { return draining_; }
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -60,6 +60,10 @@
         for (const Share &one : *shares)
             text += line("%-5s %-12s %.4f of %.0f\n", what, one.name.c_str(), part(one.served, one.asked),
                          one.asked);
+    for (const Fared &one : report.fared)
+        text += line("%-24s %.4f of what could be served\n", one.group.c_str(),
+                     part(sumOf(one.served), sumOf(one.could)));
+    for (const std::string &one : report.starved) text += "starved: " + one + "\n";
     text += report.broken.empty() ? "rules kept\n"
                                   : "rules broken: " + std::to_string(report.broken.size()) + "\n";
     for (std::size_t i = 0; i < std::min<std::size_t>(report.broken.size(), 20); ++i)
@@ -93,6 +97,13 @@
         for (const Share &one : *shares)
             list.push_back({{"name", one.name}, {"asked", one.asked}, {"served", one.served}});
     }
+    json &fared = all["fared"] = json::array();
+    for (const Fared &one : report.fared)
+        fared.push_back({{"group", one.group},
+                         {"asked", sumOf(one.asked)},
+                         {"could", sumOf(one.could)},
+                         {"served", sumOf(one.served)}});
+    all["starved"] = report.starved;
     all["rules_broken"] = report.broken;
     return all.dump(2) + "\n";
 }
--- a/src/lab/scenario.cpp
+++ b/src/lab/scenario.cpp
@@ -116,7 +116,9 @@
                                                                   {"tokened", Effect::tokened},
                                                                   {"non-idempotent", Effect::nonIdempotent}}};
 
-constexpr std::array<std::pair<const char *, FaultKind>, 11> kinds{
+constexpr unsigned mostOfList = 4096;  // gateways or nodes
+
+constexpr std::array<std::pair<const char *, FaultKind>, 14> kinds{
     {{"counter-refuses", FaultKind::counterRefuses},
      {"counter-silent", FaultKind::counterSilent},
      {"counter-slow", FaultKind::counterSlow},
@@ -127,14 +129,17 @@
      {"nodes-fail", FaultKind::nodesFail},
      {"nodes-replaced", FaultKind::nodesReplaced},
      {"gateways-killed", FaultKind::gatewaysKilled},
+     {"lists-late", FaultKind::listsLate},
+     {"connects-late", FaultKind::connectsLate},
+     {"answers-spoilt", FaultKind::answersSpoilt},
      {"traffic-jump", FaultKind::trafficJump}}};
 
 void readFleet(Reader fleet, Scenario &s) {
-    s.facts.gateways = fleet.whole("gateways", 3, 1, 500);
-    s.nodes = fleet.whole("nodes", 14, 1, 500);
+    s.facts.gateways = fleet.whole("gateways", 3, 1, mostOfList);
+    s.nodes = fleet.whole("nodes", 14, 1, mostOfList);
     s.length = fromMs(1000 * fleet.number("seconds", 20, 1, 3600));
     s.callsASecond = fleet.number("calls_a_second", 200, 0.1, 20000);
-    s.set = fleet.whole("set", std::min(3u, s.facts.gateways), 1, 500);
+    s.set = fleet.whole("set", std::min(3u, s.facts.gateways), 1, mostOfList);
     if (s.set > s.facts.gateways) fleet.fail(fleet.at("set"), "set", "no more than fleet.gateways");
     s.uneven = fleet.number("uneven", 0, 0, 4);
     s.retries = fleet.whole("retries", 1, 0, 10);
@@ -203,10 +208,13 @@
         fault.at = fromMs(1000 * from.number("at_s", 0, 0, 3600));
         fault.length = fromMs(1000 * from.number("for_s", 1, 0, 3600));
         fault.part = from.number("part", 0, 0, 1);
-        fault.size = from.number("size", 1, 0, 1000);
+        const bool late = fault.kind == FaultKind::listsLate || fault.kind == FaultKind::connectsLate;
+        const bool share = fault.kind == FaultKind::answersSpoilt || fault.kind == FaultKind::nodesFail;
+        fault.size = from.number("size", 1, 0, late ? 60000 : share ? 1 : 1000);
         if (fault.at > s.length) from.fail(from.at("at_s"), "at_s", "a time within fleet.seconds");
-        const bool ofMany = fault.kind >= FaultKind::nodesCrash && fault.kind <= FaultKind::gatewaysKilled;
-        const unsigned count = fault.kind == FaultKind::gatewaysKilled ? s.facts.gateways : s.nodes;
+        const bool ofMany = fault.kind >= FaultKind::nodesCrash && fault.kind <= FaultKind::connectsLate;
+        const bool gateways = fault.kind == FaultKind::gatewaysKilled || fault.kind == FaultKind::listsLate;
+        const unsigned count = gateways ? s.facts.gateways : s.nodes;
         if (ofMany && fault.part * count < 0.5)
             from.fail(from.at("part"), "part", "a part of at least one of the " + std::to_string(count));
         if (!ofMany && fault.part != 0)
@@ -245,6 +253,9 @@
     readRoutes(top.tables("route", true), s);
     readPlans(top.tables("plan", true), s);
     readFaults(top.tables("fault", false), s);
+    Reader expect = top.table("expect");
+    s.leastShare = expect.number("least_share", 0, 0, 1);
+    expect.done();
     top.done();
     s.facts.mayCount = s.facts.mayCancel = s.facts.mayAdvise = true;
     s.facts.mostTries = 5;
--- a/tests/test_lab.cpp
+++ b/tests/test_lab.cpp
@@ -10,6 +10,7 @@
 #include "compare.hpp"
 #include "model/counter.hpp"
 #include "model/node.hpp"
+#include "model/starvation.hpp"
 #include "report.hpp"
 #include "scenario.hpp"
 
@@ -224,6 +225,42 @@
         CHECK_THROWS_AS(readScenario(good + "\n[[fault]]\n" + fault + "\n", "f"), ScenarioError);
 }
 
+TEST_CASE("the checker for starvation names group and time, and leaves out what is too rare to tell") {
+    const Fared fine{"route a", {10, 10, 10}, {9, 9, 9}, {10, 10, 10}};
+    const Fared hungry{"plan b", {10, 50, 10}, {9, 2, 9}, {10, 50, 10}};
+    const Fared scarce{"route c", {10, 50, 10}, {9, 2, 9}, {9, 3, 9}};  // nobody could have served more
+    const Fared rare{"route d", {1, 1, 1}, {0, 0, 0}, {1, 1, 1}};
+    const auto found = starved({fine, hungry, scarce, rare}, 0.5, 20, milliseconds(1000));
+    REQUIRE(found.size() == 1);
+    CHECK(found[0].find("plan b: 0.286") == 0);
+    CHECK(found[0].find("from 1 s") != std::string::npos);
+}
+
+TEST_CASE("lists of gateways and nodes are read past 1,024, and a run of them starts") {
+    std::string text = shipped("quiet.toml");
+    for (const auto &[from, to] : {std::pair("gateways = 3", "gateways = 1100"),
+                                   {"nodes = 14", "nodes = 1100"},
+                                   {"seconds = 30", "seconds = 1"}})
+        text.replace(text.find(from), std::string(from).size(), to);
+    const Scenario large = readScenario(text, "f");
+    CHECK(large.facts.gateways == 1100);
+    const Report report = play(large, 1);
+    CHECK(report.firstTries > 0);
+    CHECK(report.broken.empty());
+}
+
+TEST_CASE("six in ten nodes replaced, lists and connections late, answers spoilt: no route or plan starves") {
+    const std::string text = shipped("join.toml");
+    const Report report = play(readScenario(text, "f"), 1);
+    CHECK(report.broken.empty());
+    CHECK(report.starved.empty());
+    CHECK(report.worstPush < 1);
+    std::string strict = text;  // the same run, asked for more than can be: it must be said
+    strict.replace(strict.find("least_share = 0.4"), 17, "least_share = 1.0");
+    strict.replace(strict.find("seconds = 25"), 12, "seconds = 9");
+    CHECK(!play(readScenario(strict, "f"), 1).starved.empty());
+}
+
 TEST_CASE("shipped scenarios keep the rules, and one seed gives one report") {
     for (const char *name : {"quiet.toml", "two-failures.toml", "all-slow.toml"}) {
         CAPTURE(std::string(name));
