Rests follow the latency of now, and a worker that turns calls away rests too

With rests by the last 64 latencies of each route, as before, an overload that was over was remembered for 20 s and more. Change: rests follow the mean of the gateway's last 16 answers; a worker that turned a call away rests as after an answer, and its limit is cut to 0.7 of what was out.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -167,9 +167,11 @@
     std::deque<CallId> line;
     std::deque<CustomerId> due;  // have a count to report, or calls held for the counter
     Recent<64> worths;
-    Recent<32> startGaps;
-    double callsASecond = 0, callsLeft = 0, usual = 0;  // usual: latency, when the order was last renewed
-    Span now{}, startedAt{}, pacedAt{}, paceCutAt{}, countOkAt{}, startedLast{};
+    Recent<16> took;  // latencies, of whatever route
+    Recent<32> sendGaps;
+    double callsASecond = 0, callsLeft = 0;
+    double usual = 0, work = 0;  // latencies, as they are now and without the wait, when last ranked
+    Span now{}, startedAt{}, pacedAt{}, paceCutAt{}, countOkAt{}, sentLast{};
     bool ticking = false, countFailing = false, orderOld = true;
     std::size_t warm = 0;  // ready workers that are not cold
     CustomerId lookedAt;
@@ -549,7 +551,6 @@
 
     void start(CallId id, Call &rq, Customer &cons) {
         worths.add(worthOf(rq));
-        startGaps.add(ms(now - std::exchange(startedLast, now)));
         const auto worker = underCeiling(cons, rq.units) ? pick(rq) : std::nullopt;
         if (!worker) {
             if (rq.held) countOpen(rq, -1);
@@ -569,6 +570,7 @@
         Worker &worker = workers.at(to);
         ++worker.out;
         ++rq.tries;
+        sendGaps.add(ms(now - std::exchange(sentLast, now)));
         rq.out = true;
         rq.calledOff = false;
         rq.worker = to;
@@ -702,8 +704,8 @@
         return std::nullopt;
     }
 
-    /// Each gateway has an order of its own, its zone first, and uses about as many workers as it has calls
-    /// to send a second, sent or not: so it hears of each often, and all parts together cover the fleet.
+    /// Each gateway has an order of its own, its zone first, and uses about as many workers as it makes
+    /// sends a second: so it hears of each often, and all parts together cover the fleet.
     void reorder() {
         order.clear();
         for (auto &[id, worker] : workers)
@@ -716,7 +718,7 @@
         rerank();
     }
 
-    double wanted() const { return std::max(kFewest, 1000 / std::max(1e-3, startGaps.mean(1000))); }
+    double wanted() const { return std::max(kFewest, 1000 / std::max(1e-3, sendGaps.mean(1000))); }
 
     /// Of a warm worker. As most of the fleet turns cold each of the others gets more gateways at once, so a
     /// limit is kept as that of all together.
@@ -744,9 +746,10 @@
             routes[at].commonFailure = 4 * std::ranges::count_if(ranked, fails) > 3 * std::ssize(ranked);
         }
         std::ranges::stable_sort(ranked, {}, &Worker::key);
-        usual = 0;
+        work = 0;
         for (const RouteRow &row : routes)
-            usual += row.work.mean(kLateAt * ms(row.latencyTarget)) / routes.size();
+            work += row.work.mean(kLateAt * ms(row.latencyTarget)) / routes.size();
+        usual = took.mean(work);
         orderOld = false;
     }
 
@@ -783,11 +786,12 @@
             worker.cuts = 0;
             worker.answered.add(ms(found->second.sentAt));
             row.latencies.add(ms(ended.latency));
+            took.add(ms(ended.latency));
             row.work.add(std::min(ms(ended.latency), kLateAt * ms(row.latencyTarget)));
             worker.slowness.add(ms(ended.latency) / std::max(0.1, row.latencies.mean(1)));
             learnLimit(worker, ms(ended.latency), ms(row.latencyTarget));
         } else if (ended.outcome == Outcome::full) {
-            worker.limit = std::max(1.0, std::min(worker.limit * 0.7, (worker.out - 1.0) * users()));
+            worker.limit = std::max(1.0, 0.7 * std::min(worker.limit, worker.out * users()));
             worker.barredUntil = std::max(worker.barredUntil, now + kBar / 2);
         } else if (cut || ended.outcome == Outcome::errored || ended.outcome == Outcome::timedOut) {
             health.bad.add(1);
@@ -797,7 +801,9 @@
             if (worker.cuts > (ended.outcome == Outcome::connectFailed ? 0 : 1))
                 worker.barredUntil = now + kBar * std::min(worker.cuts, 16);
         }
-        if (ended.outcome == Outcome::answered || ended.outcome == Outcome::errored) worker.endedAt = now;
+        // One that turned us away rests as well: else all gateways come back to its full line at once.
+        const bool heard = ended.outcome == Outcome::answered || ended.outcome == Outcome::errored;
+        if (heard || ended.outcome == Outcome::full) worker.endedAt = now;
     }
 
     /// A connection can fall silent while its worker goes on. A try that the last answers there have
@@ -828,7 +834,7 @@
         if (!cold(worker)) return limitOf(worker);
         const double part = std::max(0.0, ms(now - worker.entry.startedAt) / ms(facts.warmUp));
         const double capacity = facts.coldShare + (1 - facts.coldShare) * part;
-        const double tries = (facts.fallMultiple - 1) * capacity * ms(facts.fallSpan) / usual;
+        const double tries = (facts.fallMultiple - 1) * capacity * ms(facts.fallSpan) / work;
         if (tries >= facts.gateways || facts.gateways < kTurnsFrom) {
             return std::max(1.0, std::floor(tries / facts.gateways));
         }
