A customer stands once in the line of counts: the tick ended the program on a forgotten one

A backtrace from the terminate handler names serveDue() under on(TimerFired). At fault: serveDue() calls reportAll() with listed cleared; where the second of a customer's counts finds no call left, report() lists the customer, and serveDue() pushed it once more. Two entries may be looked at in different ticks; with the first the customer counts as out of the line and may be forgotten in between. Change: serveDue() pushes only what it did not try to report.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -897,9 +897,10 @@
         std::ranges::stable_sort(looked, {}, [](const auto &one) { return one.first; });
         for (const auto &[urgent, id] : looked) {
             Customer &cons = customers.at(id);
+            // Short of calls half way it lists itself: twice in the line, it would outlive its customer
+            // there.
             cons.listed = !mayCall(1, 0);
-            if (!cons.listed) reportAll(id, cons, Ask::turn);
-            if (cons.listed) due.push_back(id);
+            cons.listed ? due.push_back(id) : reportAll(id, cons, Ask::turn);
             if (!cons.held.empty()) list(id, cons);
         }
     }
