--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -306,6 +306,40 @@
     CHECK(list("false", "s-0", "Ready") == first);
 }
 
+TEST_CASE("lists of workers and peers are read whole at 1,024 and beyond, indented, in pieces") {
+    for (const int count : {1024, 1500}) {
+        CAPTURE(count);
+        std::string list = "{\n  \"index\": 7,\n  \"snapshot\": true,\n  \"endpoints\": [", peers;
+        for (int i = 0; i < count; ++i) {
+            const std::string place = std::to_string(i / 250) + "." + std::to_string(i % 250);
+            list += std::string(i > 0 ? "," : "") + "\n    {\n      \"name\": \"worker-" +
+                    std::string(100, 'x') + std::to_string(i) + "\",\n      \"address\": \"127.1." + place +
+                    ":16379\",\n      \"zone\": \"a\",\n      \"status\": \"Ready\"\n    }";
+            peers += std::string(i > 0 ? "," : "") + "\n \"127.2." + place + ":7946\"";
+        }
+        list += "\n  ]\n}\n";
+        std::string body;
+        HttpAnswers answers(16 * 1024 * 1024, [&](const HttpAnswer &answer) { body = answer.body; });
+        const std::string wire =
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(list.size()) + "\r\n\r\n" + list;
+        for (std::size_t at = 0; at < wire.size(); at += 1460)
+            REQUIRE(answers.take(std::string_view(wire).substr(at, 1460)));
+        Site site;
+        site.zones = {"a"};
+        TargetReader reader(site);
+        const TargetNews news = reader.read(body);
+        CHECK(news.targets.size() == static_cast<std::size_t>(count));
+        CHECK(reader.size() == static_cast<std::size_t>(count));  // an id for each
+        const StartDocument start = readStart(
+            R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","limits":{"memory_mb":8,"sockets":48},"known":)" +
+            list + R"(,"peers":[)" + peers + R"(],"settings":{"balancers":)" + std::to_string(count) +
+            R"(,"classes":[],"rules":{},"permissions":{}}})");
+        CHECK(start.peers.size() == static_cast<std::size_t>(count));
+        CHECK(start.site.facts.gateways == static_cast<unsigned>(count));
+        CHECK(TargetReader(site).read(start.known).targets.size() == static_cast<std::size_t>(count));
+    }
+}
+
 TEST_CASE("a start document that is wrong is told in one line") {
     const std::string settings =
         R"("settings":{"balancers":1,"classes":[],"rules":{},"permissions":{"keepaliveMs":15000}})";
