Calls wait for discovery's answer while the list of workers is in doubt

Cause: a gateway sent calls by its cached list from the first moment on, and by its old list while an answer of discovery was incomplete or the connection to it was broken. What discovery's agent knows counts as announced all the same, so with thousands of workers, little processor time or a slow answer the grace ran out.

Change: WorkerListFreshness, a decision module without I/O, says when the list is in doubt and when discovery counts as silent; the engine holds tries back meanwhile and sends them by the new list.

--- a/include/arrowstile/events.hpp
+++ b/include/arrowstile/events.hpp
@@ -42,6 +42,12 @@
     std::vector<WorkerEntry> workers;
 };
 
+/// Whether calls may be sent by the present list of workers, see worker_list_freshness.hpp. They may until
+/// the first event of this kind.
+struct WorkerListUsableChanged {
+    bool isUsable = true;
+};
+
 /// A client sent an API call. The engine owes it one final answer, see actions.hpp.
 struct CallReceived {
     CallId call;
@@ -128,7 +134,8 @@
 };
 
 /// Any one event.
-using Event = std::variant<WorkerListUpdated, CallReceived, TryStreamStarted, TryEnded, CallAbandoned,
-                           TimerFired, ProbeEnded, PeerMessageReceived, AddToCountEnded>;
+using Event =
+    std::variant<WorkerListUpdated, WorkerListUsableChanged, CallReceived, TryStreamStarted, TryEnded,
+                 CallAbandoned, TimerFired, ProbeEnded, PeerMessageReceived, AddToCountEnded>;
 
 }  // namespace arrowstile
--- a/src/decision_engine.cpp
+++ b/src/decision_engine.cpp
@@ -12,6 +12,7 @@
 /// - Requests to the counter, which are paced by its latency and failures: tryTakeRequestTokens(),
 ///   adjustRequestRate(), isCounterTrusted(), rereadTotals().
 /// - Hard bounds: ceilings in ceilingAdmits(), caps on open tries in openCapAdmits() and decideHeldCalls().
+/// - Calls wait while the list of workers is in doubt: resumeCall(), expireCallsAwaitingList().
 /// - Retry queue: serveRetryQueue(), mayRetry().
 /// - Load balancing with a concurrency limit for each worker: pickWorker(), rebuildWorkerOrder(),
 ///   rankWorkers(), adjustConcurrencyLimit().
@@ -265,6 +266,7 @@
     unsigned triesSent = 0;
     bool hasTryInFlight = false;
     bool isHeld = false;          ///< in Customer::heldCalls or callsAwaitingTotals
+    bool isAdmitted = false;      ///< within the customer's limits, as far as decided before it is sent
     bool isClosed = false;        ///< the engine must not answer it any more
     bool mayHaveRun = false;      ///< a worker may have run it
     bool isTryCancelled = false;  ///< CancelTry was returned for the last try
@@ -295,23 +297,25 @@
     std::map<CustomerId, Customer> customers;
     /// Requests to the counter in flight, with the customer, kind and window of the count.
     std::map<CountName, std::tuple<CustomerId, CountKind, std::int64_t>> counterRequests;
-    std::deque<CallId> retryQueue;        ///< calls whose last try has ended without an answer to the client
-    std::deque<CustomerId> reportQueue;   ///< customers with a count to report, or with held calls
-    RecentSamples<64> recentValuesPerMs;  ///< valuePerMs() of admitted calls
-    RecentSamples<16> recentLatenciesMs;  ///< of answered tries on any route
-    RecentSamples<32> recentSendGapsMs;   ///< between consecutive tries
-    double requestsPerSecond = 0;         ///< rate of requests to the counter that is allowed at present
-    double requestTokens = 0;             ///< level of the token bucket for requests to the counter
-    double usualLatencyMs = 0;            ///< mean of the recent latencies, when last ranked
-    double usualServiceTimeMs = 0;        ///< mean over all routes, when last ranked
-    Timestamp now{};                      ///< time of the event that is being handled
-    Timestamp startedAt{};                ///< time of the first event
+    std::deque<CallId> callsAwaitingList;  ///< calls without a try that wait until the list is usable again
+    std::deque<CallId> retryQueue;         ///< calls whose last try has ended without an answer to the client
+    std::deque<CustomerId> reportQueue;    ///< customers with a count to report, or with held calls
+    RecentSamples<64> recentValuesPerMs;   ///< valuePerMs() of admitted calls
+    RecentSamples<16> recentLatenciesMs;   ///< of answered tries on any route
+    RecentSamples<32> recentSendGapsMs;    ///< between consecutive tries
+    double requestsPerSecond = 0;          ///< rate of requests to the counter that is allowed at present
+    double requestTokens = 0;              ///< level of the token bucket for requests to the counter
+    double usualLatencyMs = 0;             ///< mean of the recent latencies, when last ranked
+    double usualServiceTimeMs = 0;         ///< mean over all routes, when last ranked
+    Timestamp now{};                       ///< time of the event that is being handled
+    Timestamp startedAt{};                 ///< time of the first event
     Timestamp requestTokensUpdatedAt{};
     Timestamp requestRateReducedAt{};
     Timestamp counterAnsweredAt{};  ///< when the counter last replied, be it with an error
     Timestamp lastTrySentAt{};
     bool isTicking = false;           ///< the periodic timer was started
     bool isCounterFailing = false;    ///< the last request to the counter failed
+    bool isListUsable = true;         ///< calls may be sent by the present list of workers
     bool isRankingStale = true;       ///< rankWorkers() must run before the next choice of a worker
     std::size_t warmWorkerCount = 0;  ///< ready workers that are not cold
     CustomerId lastCheckedCustomer;   ///< position of evictIdleCustomers()
@@ -784,6 +788,16 @@
     void on(const CallReceived &received) {
         if (calls.contains(received.call)) return;
         if (received.route.value >= routes.size()) return actions.push_back(AnswerErrored{received.call});
+        if (!isListUsable) {
+            calls[received.call] = {received, now, now + received.timeRemaining};
+            callsAwaitingList.push_back(received.call);
+            return;
+        }
+        admit(received, now);
+    }
+
+    /// Decides about a call that was received at `receivedAt`.
+    void admit(const CallReceived &received, Timestamp receivedAt) {
         Customer &customer = customerOf(received);
         advanceQuota(received.customer, customer);
         const bool awaitsTotals = needsFirstTotals(customer, received);
@@ -791,9 +805,10 @@
             !openCapAdmits(received.customer, customer) || !ceilingAdmits(customer, received.units)) {
             answerRateLimited(received.call, received.route);
             rereadTotals(received.customer, customer);
+            calls.erase(received.call);
             return;
         }
-        Call &call = calls[received.call] = {received, now, now + received.timeRemaining};
+        Call &call = calls[received.call] = {received, receivedAt, receivedAt + received.timeRemaining};
         if (awaitsTotals) return requestFirstTotals(received.customer, customer, call);
         // If the open cap was recently reached, any cached total is too old to decide. Where an even share of
         // the cap is below one, so is a total that is older than the usual latency. In both cases the try is
@@ -814,6 +829,8 @@
     /// Sends an admitted call to a worker and takes its units from quota and ceiling. Gives the call up if no
     /// worker can take it, or if the ceiling has no room any more after the call was held.
     void sendFirstTry(CallId id, Call &call, Customer &customer) {
+        call.isAdmitted = true;
+        if (!isListUsable) return callsAwaitingList.push_back(id);
         recentValuesPerMs.add(valuePerMs(call));
         const auto worker = ceilingAdmits(customer, call.units) ? pickWorker(call) : std::nullopt;
         if (!worker) {
@@ -907,17 +924,59 @@
         calls.erase(id);
     }
 
+    // ---- Calls that wait for a usable list of workers ----
+
+    /// Holds all tries back while the list of workers can't be used, and sends what waited once it can.
+    void on(const WorkerListUsableChanged &changed) {
+        isListUsable = changed.isUsable;
+        if (!isListUsable) return;
+        for (const CallId id : std::exchange(callsAwaitingList, {})) {
+            const auto found = calls.find(id);
+            if (found != calls.end()) resumeCall(id, found->second);
+        }
+        serveRetryQueue();
+    }
+
+    /// Goes on with a call that waited for a usable list.
+    void resumeCall(CallId id, Call &call) {
+        if (call.isClosed || !hasTimeForFirstTry(call)) return endAwaitingCall(id, call);
+        if (!call.isAdmitted) return admit(CallReceived(call), call.receivedAt);
+        sendFirstTry(id, call, customerOf(call));
+    }
+
+    /// Ends a call that waited for a usable list in vain.
+    void endAwaitingCall(CallId id, Call &call) {
+        if (call.isHeld) countOpenTry(call, -1);
+        if (!call.isClosed) return giveUp(id, call);
+        calls.erase(id);
+    }
+
+    /// Gives up the calls that have waited for a usable list for too long.
+    void expireCallsAwaitingList() {
+        std::erase_if(callsAwaitingList, [this](CallId id) {
+            const auto found = calls.find(id);
+            if (found == calls.end()) return true;
+            if (!found->second.isClosed && hasTimeForFirstTry(found->second)) return false;
+            endAwaitingCall(id, found->second);
+            return true;
+        });
+    }
+
+    /// Whether a call that no worker has run may still be sent. Only in the first half of its time, because a
+    /// later rate-limited answer costs the client more. Two ticks are kept in reserve, since a waiting call
+    /// may have to wait for a tick.
+    bool hasTimeForFirstTry(const Call &call) const {
+        return now < call.receivedAt + call.timeRemaining / 2 - 2 * kTickInterval;
+    }
+
     // ---- Retry queue ----
 
-    /// Whether there is time for another try and the route allows one. A call that no worker has run is given
-    /// up after the first half of its time, because a later rate-limited answer costs the client more. Two
-    /// ticks are kept in reserve, since a queued call may have to wait for a tick.
+    /// Whether there is time for another try and the route allows one.
     bool mayRetry(const Call &call) const {
-        const Timestamp latest = call.mayHaveRun
-                                     ? call.deadline - 2 * kTickInterval
-                                     : call.receivedAt + call.timeRemaining / 2 - 2 * kTickInterval;
-        return call.triesSent < settings.maxTries && isRepeatSafe(call) &&
-               now < std::min(call.receivedAt + routes[call.route.value].latencyTarget, latest);
+        const bool hasTime =
+            call.mayHaveRun ? now < call.deadline - 2 * kTickInterval : hasTimeForFirstTry(call);
+        return hasTime && call.triesSent < settings.maxTries && isRepeatSafe(call) &&
+               now < call.receivedAt + routes[call.route.value].latencyTarget;
     }
 
     /// Whether another try does no harm: the call hasn't run, or is idempotent, or workers still recognize
@@ -954,7 +1013,7 @@
             Call &call = found->second;
             if (!mayRetry(call)) {
                 giveUp(id, call);
-            } else if (const auto worker = pickWorker(call)) {
+            } else if (const auto worker = isListUsable ? pickWorker(call) : std::nullopt) {
                 sendTry(id, call, *worker);
             } else {
                 retryQueue.push_back(id);
@@ -1249,12 +1308,13 @@
         actions.push_back(SetTimer{now + kTickInterval, kTickToken});
         isRankingStale = true;
         cancelOvertakenTries();
+        expireCallsAwaitingList();
         if (!retryQueue.empty()) serveRetryQueue();
         // No call is held for longer than two counter timeouts, for whatever reason the counter's reply is
         // late.
         std::vector<CustomerId> overdue;
         for (const auto &[id, call] : calls)
-            if (call.isHeld && now - call.receivedAt > 2 * settings.counterTimeout)
+            if (call.isHeld && !call.isAdmitted && now - call.receivedAt > 2 * settings.counterTimeout)
                 overdue.push_back(call.customer);
         for (const CustomerId id : overdue) {
             decideHeldCalls(customers.at(id), false, 0);
--- a/src/net/client_connections.cpp
+++ b/src/net/client_connections.cpp
@@ -124,7 +124,7 @@
         return countedUnsentBytes = tcp->unsentBytes();
     }
 
-    void onClosed() override { owner.closeConnection(id); }
+    void onClosed(CloseReason) override { owner.closeConnection(id); }
 
     /// Queues an answer that needs no worker, behind those to earlier commands.
     void queueAnswer(std::string text) {
--- a/src/net/core/metrics.cpp
+++ b/src/net/core/metrics.cpp
@@ -29,6 +29,7 @@
         {"counts_lost", countsLost},
         {"counter_connections", counterConnections},
         {"lists", lists},
+        {"list_waits", listWaits},
         {"watches", watches},
         {"reloads", reloads},
         {"peer_messages_in", peerMessagesIn},
--- a/src/net/core/metrics.hpp
+++ b/src/net/core/metrics.hpp
@@ -42,6 +42,7 @@
     std::uint64_t countsLost = 0;          ///< requests to the counter that ended in any other way
     std::uint64_t counterConnections = 0;  ///< connections to the counter that were started
     std::uint64_t lists = 0;               ///< valid lists of workers from discovery
+    std::uint64_t listWaits = 0;           ///< times that calls began to wait because the list was in doubt
     std::uint64_t watches = 0;             ///< requests to discovery that wait for a change of the list
     std::uint64_t peerMessagesIn = 0;
     std::uint64_t peerMessagesOut = 0;
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -53,7 +53,7 @@
         return 0;
     }
 
-    void onClosed() override { owner.closeConnection(*this, false); }
+    void onClosed(CloseReason) override { owner.closeConnection(*this, false); }
 
     void handleResponse(const HttpResponse &response) {
         double total = 0;
@@ -139,8 +139,9 @@
 CounterClient::Connection *CounterClient::connect() {
     if (!context_.startDocument.counterAddress) return nullptr;
     auto created = std::make_unique<Connection>(*this);
+    CloseReason failure{};
     created->tcp =
-        TcpConnection::connect(context_.loop, *context_.startDocument.counterAddress, created.get());
+        TcpConnection::connect(context_.loop, *context_.startDocument.counterAddress, created.get(), failure);
     if (!created->tcp) return nullptr;
     ++context_.metrics.counterConnections;
     connections_.push_back(std::move(created));
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -8,9 +8,6 @@
 
 using std::chrono::milliseconds;
 
-/// A gateway becomes ready with discovery's first answer. If it was started with a cached list of workers, it
-/// becomes ready after this time at the latest.
-constexpr Duration kMaxReadyDelay = milliseconds(1000);
 /// Actions may produce further events at once. Those that remain after this number of rounds are left to the
 /// next iteration of the event loop.
 constexpr int kMaxRoundsPerIteration = 8;
@@ -36,8 +33,6 @@
                      for (const DiscoveredWorker &listed : update.workers)
                          event.workers.push_back(listed.entry);
                      context_.pendingEvents.emplace_back(std::move(event));
-                     if (kind == WorkerListKind::snapshot || kind == WorkerListKind::delta)
-                         clients_.setReady();
                  }),
       peers_(context_),
       beforePoll_(new uv_prepare_t),
@@ -76,11 +71,10 @@
         SIGHUP);
     clients_.listen(startDocument.listenAddress);
     peers_.listen();
-    if (!startDocument.cachedWorkerListJson.empty()) {
+    if (!startDocument.cachedWorkerListJson.empty())
         discovery_.loadCachedList(startDocument.cachedWorkerListJson);
-        context_.timers.schedule(context_.clock.now() + kMaxReadyDelay, [this] { clients_.setReady(); });
-    }
     discovery_.setWatching(true);
+    context_.pendingEvents.emplace_back(WorkerListUsableChanged{isListUsable_});
     context_.lastReadAt = context_.clock.now();
     uv_prepare_start(beforePoll_.get(),
                      [](uv_prepare_t *handle) { static_cast<Gateway *>(handle->data)->armWakeTimer(); });
@@ -135,6 +129,7 @@
         context_.lastReadAt = now;
         context_.timers.runDue(now);
     }
+    updateListUsable();
     for (int round = 0; round < kMaxRoundsPerIteration && !context_.pendingEvents.empty(); ++round)
         runEngine();
     workers_.flush();
@@ -143,14 +138,27 @@
     if (clients_.isStopped()) uv_stop(context_.loop);
 }
 
+/// Tells the engine when the list of workers becomes usable or doubtful. With the first usable list the
+/// gateway is ready.
+void Gateway::updateListUsable() {
+    const bool isUsable = discovery_.hasList() && discovery_.mayUseList();
+    if (std::exchange(isListUsable_, isUsable) == isUsable) return;
+    if (isUsable) clients_.setReady();
+    if (!isUsable) ++context_.metrics.listWaits;
+    context_.log.info(isUsable ? "the list of workers is usable" : "calls wait for discovery's answer");
+    context_.pendingEvents.emplace_back(WorkerListUsableChanged{isUsable});
+}
+
 /// Passes the pending events to the engine and carries out the actions that it returns. Changes of the list
 /// of workers are passed first: they apply to every try that is sent after they arrived, even if the engine
 /// sends it because of an event that arrived earlier.
 void Gateway::runEngine() {
     events_.clear();
     events_.swap(context_.pendingEvents);
-    std::ranges::stable_partition(
-        events_, [](const Event &event) { return std::holds_alternative<WorkerListUpdated>(event); });
+    std::ranges::stable_partition(events_, [](const Event &event) {
+        return std::holds_alternative<WorkerListUpdated>(event) ||
+               std::holds_alternative<WorkerListUsableChanged>(event);
+    });
     const Timestamp now = context_.clock.now();
     actions_.clear();
     for (const Event &event : events_)
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -43,6 +43,7 @@
     };
 
     void processIteration();
+    void updateListUsable();
     void runEngine();
     void armWakeTimer();
     void stop();
@@ -71,6 +72,7 @@
     CounterClient counter_;
     DiscoveryClient discovery_;
     PeerSocket peers_;
+    bool isListUsable_ = false;    ///< as last passed to the engine
     Timestamp wakeBy_{};           ///< when the loop has to return from waiting for input
     bool hasWokenLate_ = false;    ///< the current iteration began late, so it runs no timers
     std::vector<Event> events_;    ///< being processed; a member to reuse its memory
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -25,6 +25,33 @@
     return result;
 }
 
+CloseReason closeReasonOf(int uvError) {
+    switch (uvError) {
+        case UV_ECONNREFUSED: return CloseReason::refused;
+        case UV_EACCES:
+        case UV_EADDRINUSE:
+        case UV_EADDRNOTAVAIL:
+        case UV_EAGAIN:
+        case UV_EMFILE:
+        case UV_ENETDOWN:
+        case UV_ENETUNREACH:
+        case UV_ENFILE:
+        case UV_ENOBUFS:
+        case UV_ENOMEM:
+        case UV_EPERM: return CloseReason::localFailure;
+        default: return CloseReason::peerClosed;
+    }
+}
+
+const char *toString(CloseReason reason) {
+    switch (reason) {
+        case CloseReason::peerClosed: return "closed by peer";
+        case CloseReason::refused: return "refused";
+        case CloseReason::localFailure: return "local failure";
+    }
+    return "";
+}
+
 TcpConnection::TcpConnection(uv_loop_t *loop, Handler *handler) : handler_(handler) {
     uv_tcp_init(loop, &tcp_);
     tcp_.data = this;
@@ -36,7 +63,8 @@
              [](uv_handle_t *handle) { delete toConnection(handle->data); });
 }
 
-TcpConnection::Ptr TcpConnection::connect(uv_loop_t *loop, const Address &to, Handler *handler) {
+TcpConnection::Ptr TcpConnection::connect(uv_loop_t *loop, const Address &to, Handler *handler,
+                                          CloseReason &failure) {
     Ptr connection(new TcpConnection(loop, handler));
     const sockaddr_in address = toSocketAddress(to);
     connection->connectRequest_.data = connection.get();
@@ -46,9 +74,11 @@
                            TcpConnection *self = toConnection(request->data);
                            if (self->handler_ == nullptr) return;
                            if (status == 0) self->handleOpen();
-                           if (status != 0) self->handleClose();
+                           if (status != 0) self->handleClose(closeReasonOf(status));
                        });
-    return error == 0 ? std::move(connection) : nullptr;
+    if (error == 0) return connection;
+    failure = closeReasonOf(error);
+    return nullptr;
 }
 
 TcpConnection::Ptr TcpConnection::accept(uv_stream_t *listener, Handler *handler) {
@@ -66,11 +96,11 @@
 }
 
 /// Reports the end of the connection to the handler, once.
-void TcpConnection::handleClose() {
+void TcpConnection::handleClose(CloseReason reason) {
     if (isClosed_ || handler_ == nullptr) return;
     isClosed_ = true;
     uv_read_stop(reinterpret_cast<uv_stream_t *>(&tcp_));
-    handler_->onClosed();
+    handler_->onClosed(reason);
 }
 
 /// Offers the free end of the input buffer to libuv for the next read.
@@ -96,7 +126,7 @@
 void TcpConnection::onRead(uv_stream_t *handle, ssize_t size, const uv_buf_t *) {
     TcpConnection &self = *toConnection(handle->data);
     if (self.handler_ == nullptr || size == 0) return;
-    if (size < 0) return self.handleClose();
+    if (size < 0) return self.handleClose(CloseReason::peerClosed);
     self.inputEnd_ += static_cast<std::size_t>(size);
     self.deliverInput();
 }
@@ -136,7 +166,7 @@
     if (status == 0) self.sentBytes_ += self.outputBeingWritten_.size();
     self.outputBeingWritten_ = {};
     if (self.handler_ == nullptr) return;
-    if (status != 0) return self.handleClose();
+    if (status != 0) return self.handleClose(CloseReason::peerClosed);
     self.flush();
     if (self.unsentBytes() == 0) self.handler_->onOutputSent();
 }
--- a/src/net/tcp_connection.hpp
+++ b/src/net/tcp_connection.hpp
@@ -14,6 +14,19 @@
 
 namespace arrowstile {
 
+/// Why a connection is over, or could not be made.
+enum class CloseReason : std::uint8_t {
+    peerClosed,   ///< the peer closed or reset it, or the network failed
+    refused,      ///< nothing listens at the address
+    localFailure  ///< this machine could not connect; that says nothing about the peer
+};
+
+/// The reason that an error code of libuv (negative errno) stands for.
+CloseReason closeReasonOf(int uvError);
+
+/// A word for the log.
+const char *toString(CloseReason reason);
+
 /// A TCP connection. It is owned through TcpConnection::Ptr. Destroying that pointer closes the connection at
 /// once and discards output that was not sent; the object itself is freed when libuv has closed the handle.
 class TcpConnection {
@@ -30,7 +43,7 @@
         virtual void onOutputSent() {}
         /// The peer closed the connection, it failed, or it could not be established. Called once at most;
         /// the handler then destroys the connection's pointer, here or later.
-        virtual void onClosed() = 0;
+        virtual void onClosed(CloseReason reason) = 0;
 
     protected:
         ~Handler() = default;
@@ -41,8 +54,9 @@
     };
     using Ptr = std::unique_ptr<TcpConnection, Closer>;
 
-    /// Starts to connect. Returns nullptr if that fails at once; otherwise onOpen or onClosed follows.
-    static Ptr connect(uv_loop_t *loop, const Address &to, Handler *handler);
+    /// Starts to connect. Otherwise than with nullptr, onOpen or onClosed follows. Returns nullptr if
+    /// connecting fails at once, and then sets `failure`.
+    static Ptr connect(uv_loop_t *loop, const Address &to, Handler *handler, CloseReason &failure);
     /// Accepts the next connection of a listening socket. Returns nullptr if there is none.
     static Ptr accept(uv_stream_t *listener, Handler *handler);
 
@@ -70,7 +84,7 @@
 
     void handleOpen();
     void deliverInput();
-    void handleClose();
+    void handleClose(CloseReason reason);
     static void onAllocate(uv_handle_t *handle, std::size_t, uv_buf_t *buffer);
     static void onRead(uv_stream_t *handle, ssize_t size, const uv_buf_t *);
     static void onWritten(uv_write_t *request, int status);
--- a/src/net/worker_connections.cpp
+++ b/src/net/worker_connections.cpp
@@ -68,7 +68,7 @@
     std::size_t onData(std::string_view bytes) override;
     std::size_t closeOnInvalidReply();
 
-    void onClosed() override {
+    void onClosed(CloseReason) override {
         const Timestamp idleUntil = inFlight.empty() ? owner.context_.clock.now() : inFlight.front().sentAt;
         if (isOpen && idleSince > Timestamp{} && !hasReceivedSinceIdle)
             owner.shortenIdleTimeout(idleUntil - idleSince);
@@ -224,7 +224,8 @@
     auto created = std::make_unique<Connection>(*this, worker);
     Connection *connection = created.get();
     ++connectionCount_;
-    connection->tcp = TcpConnection::connect(context_.loop, pool.address, connection);
+    CloseReason failure{};
+    connection->tcp = TcpConnection::connect(context_.loop, pool.address, connection, failure);
     if (!connection->tcp) return nullptr;
     ++context_.metrics.workerConnections;
     connection->connectTimer = context_.timers.schedule(
--- /dev/null
+++ b/tests/test_gateway_discovery.cpp
@@ -0,0 +1,88 @@
+/// \file
+/// Tests of a whole gateway over real sockets: which list of workers its calls are sent by while discovery's
+/// answer is late, incomplete or missing.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "gateway_fixture.hpp"
+
+using namespace arrowstile;
+using namespace arrowstile::testing;
+
+namespace {
+
+/// The worker of the cached list, as one that begins to drain.
+constexpr const char *kDrainingWorker = R"({"name":"w","status":"Terminating"})";
+
+/// Plays a worker for one call: takes it from a new connection and replies. Returns whether a call came.
+bool answerNextCall(const Socket &workerListener) {
+    const Socket connection = workerListener.accept();
+    if (connection.read(kCallEnd).find("Q.ASK") == std::string::npos) return false;
+    connection.write(kProxiedReply);
+    return true;
+}
+
+}  // namespace
+
+// Guards against calls sent by the list of an earlier run while discovery's first answer is on its way: by
+// then the agent may know that those workers drain, and that counts as announced.
+TEST_CASE("issue 29: calls that come before discovery's first answer are sent by that answer") {
+    GatewayFixture fixture;
+    const Socket newWorkerListener = Socket::listen();
+    const Socket client = fixture.connectClient();
+    client.write(apiCall("status", 2000));
+    CHECK(!fixture.workerListener.accept(milliseconds(600)).isOpen());
+    fixture.sendWorkerListDelta(std::string(kDrainingWorker) + "," + readyWorker("v", newWorkerListener));
+    CHECK(answerNextCall(newWorkerListener));
+    CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+    CHECK(!fixture.workerListener.accept(milliseconds(50)).isOpen());
+}
+
+// Guards against the opposite: a gateway that serves nobody because discovery is down. A restarted gateway
+// has to be ready within 6 s.
+TEST_CASE("issue 29: while discovery stays silent, the cached list serves") {
+    GatewayFixture fixture;
+    const auto startedAt = std::chrono::steady_clock::now();
+    const Socket client = fixture.connectClient();
+    std::string answer;
+    while (answer != "+PONG\r\n" && std::chrono::steady_clock::now() - startedAt < milliseconds(6000)) {
+        client.write("*1\r\n$4\r\nPING\r\n");
+        answer = client.read();
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    CHECK(answer == "+PONG\r\n");
+    client.write(apiCall("status", 1000));
+    CHECK(answerNextCall(fixture.workerListener));
+    CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+}
+
+// Guards against calls sent by the old list while a change of it is only half read.
+TEST_CASE("issue 29: calls wait while discovery's answer is incomplete, and are sent by the whole of it") {
+    GatewayFixture fixture;
+    const Socket newWorkerListener = Socket::listen();
+    const Socket client = fixture.makeReadyAndConnect();
+    const std::string response =
+        workerListResponse(std::string(kDrainingWorker) + "," + readyWorker("v", newWorkerListener));
+    fixture.discoveryConnection.write(response.substr(0, response.size() / 2));
+    std::this_thread::sleep_for(milliseconds(20));
+    client.write(apiCall("status", 2000));
+    CHECK(!fixture.workerListener.accept(milliseconds(500)).isOpen());
+    fixture.discoveryConnection.write(response.substr(response.size() / 2));
+    CHECK(answerNextCall(newWorkerListener));
+    CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+}
+
+// Guards against calls sent by the old list after contact to discovery was lost: what the agent gets counts
+// as announced, whether or not a watch is open.
+TEST_CASE("issue 29: after a broken watch calls wait for the answer on the new connection") {
+    GatewayFixture fixture;
+    const Socket newWorkerListener = Socket::listen();
+    const Socket client = fixture.makeReadyAndConnect();
+    fixture.discoveryConnection.close();
+    fixture.discoveryConnection = fixture.discoveryListener.accept();
+    fixture.discoveryConnection.read(kHttpHeaderEnd);
+    std::this_thread::sleep_for(milliseconds(250));  // the grace of the usual deployment
+    client.write(apiCall("status", 2000));
+    CHECK(!fixture.workerListener.accept(milliseconds(300)).isOpen());
+    fixture.sendWorkerListDelta(std::string(kDrainingWorker) + "," + readyWorker("v", newWorkerListener));
+    CHECK(answerNextCall(newWorkerListener));
+    CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+}
