Time-outs on discovery's answers go by progress, not by the whole transfer

Callers saw: a gateway without a cached list was never ready while the whole list took 3 s to arrive.

Cause: requests for the whole list were given up 2 s after they were sent, though the answer was arriving, and sent again for ever; a watch 11.5 s after it was sent, even if its answer had stopped halfway after a second.

Change: an answer that is sent at once has 4 s to begin (8 s after a time-out); one that has begun may pause for 4 s. The same holds for the watch and for the list after a move or a refused version.

--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -15,8 +15,10 @@
 /// How much later than kWatchTimeout the response to a watch request may begin.
 constexpr Duration kWatchTimeoutMargin = milliseconds(1500);
 /// How long a response that discovery sends at once may take to begin. Doubled after each timeout.
-constexpr Duration kMinFirstByteTimeout = milliseconds(2000);
-constexpr Duration kMaxFirstByteTimeout = milliseconds(2000);
+constexpr Duration kMinFirstByteTimeout = milliseconds(4000);
+constexpr Duration kMaxFirstByteTimeout = milliseconds(8000);
+/// How long a response that has begun may pause.
+constexpr Duration kStallTimeout = milliseconds(4000);
 /// Pause before the next attempt to connect, doubled after each. Discovery counts a request that comes later
 /// than 200 ms after a response as the start of a new watch.
 constexpr Duration kMinReconnectDelay = milliseconds(20);
@@ -120,6 +122,7 @@
         loseConnection(ListDoubt::connectionLost);
     } else if (isRequestInFlight_ && isResponseBegun_) {
         freshness_.addDoubt(ListDoubt::answerIncomplete, context_.clock.now());
+        restartTimeout(kStallTimeout);
     }
     return bytes.size();
 }
--- a/tests/test_gateway_discovery.cpp
+++ b/tests/test_gateway_discovery.cpp
@@ -86,3 +86,39 @@
     CHECK(answerNextCall(newWorkerListener));
     CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
 }
+
+// Guards against time-outs on the whole of a transfer: with thousands of workers, or a slow agent, no list
+// ever arrived in time and each attempt began anew.
+TEST_CASE("issue 29: a first list that takes 3 s to arrive is read whole, on one connection") {
+    for (const bool isPiecewise : {true, false}) {
+        CAPTURE(isPiecewise);
+        GatewayFixture fixture({.hasCachedList = false});
+        const std::string response =
+            workerListResponse(readyWorker("w", fixture.workerListener), /*isSnapshot=*/true);
+        constexpr std::size_t kPieceCount = 10;
+        for (std::size_t piece = 0; piece < kPieceCount; ++piece) {
+            std::this_thread::sleep_for(milliseconds(300));
+            if (!isPiecewise) continue;
+            const std::size_t begin = piece * response.size() / kPieceCount;
+            const std::size_t end = (piece + 1) * response.size() / kPieceCount;
+            fixture.discoveryConnection.write(response.substr(begin, end - begin));
+        }
+        if (!isPiecewise) fixture.discoveryConnection.write(response);
+        CHECK(fixture.discoveryConnection.read(kHttpHeaderEnd).find("since=2") != std::string::npos);
+        const Socket client = fixture.connectClient();
+        client.write("*1\r\n$4\r\nPING\r\n" + apiCall("status", 1000));
+        CHECK(client.read() == "+PONG\r\n");
+        CHECK(answerNextCall(fixture.workerListener));
+    }
+}
+
+// Guards against the opposite: an answer that stops halfway must not end contact to discovery for good.
+TEST_CASE("issue 29: an answer that stops halfway is given up, and discovery asked again") {
+    GatewayFixture fixture;
+    const Socket client = fixture.makeReadyAndConnect();
+    fixture.discoveryConnection.write("HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n{");
+    fixture.discoveryConnection = fixture.discoveryListener.accept(milliseconds(6000));
+    CHECK(fixture.discoveryConnection.read(kHttpHeaderEnd).find("since=2") != std::string::npos);
+    client.write(apiCall("status", 1000));
+    CHECK(answerNextCall(fixture.workerListener));
+}
