The gateway accepts clients itself: a failing accept() closes no connection

Cause: on these errors libuv accepts the connections that wait and closes them, to free its event loop.

Change: TcpListener polls the listening socket and accepts itself. A planned stop takes in the connections that wait before it closes the listening socket.

--- a/src/net/client_connections.cpp
+++ b/src/net/client_connections.cpp
@@ -1,5 +1,7 @@
 #include "client_connections.hpp"
 
+#include <unistd.h>
+
 #include <algorithm>
 
 namespace arrowstile {
@@ -7,8 +9,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr int kListenBacklog = 1024;
-
 // Reading from a connection pauses when it has this many commands without an answer or this many bytes of
 // answers that its client has not fetched. Neither a flood of commands nor a slow reader then uses up the
 // memory that all connections share. Reading resumes at half the commands and at the low-water mark.
@@ -172,34 +172,27 @@
     bool isWriteShutdown = false;
 };
 
-void ClientConnections::ListenerCloser::operator()(uv_tcp_t *listener) const {
-    uv_close(reinterpret_cast<uv_handle_t *>(listener),
-             [](uv_handle_t *handle) { delete reinterpret_cast<uv_tcp_t *>(handle); });
-}
-
 ClientConnections::ClientConnections(ServerContext &context, PendingCallTable &pendingCalls)
     : context_(context), pendingCalls_(pendingCalls) {
     context_.timers.schedule(context_.clock.now() + kCleanupInterval, [this] { closeOverdueConnections(); });
 }
 
-ClientConnections::~ClientConnections() = default;
+ClientConnections::~ClientConnections() { closeListener(); }
 
 void ClientConnections::listen(const Address &address) {
-    listener_.reset(new uv_tcp_t);
-    uv_tcp_init(context_.loop, listener_.get());
-    listener_->data = this;
-    const sockaddr_in socketAddress = toSocketAddress(address);
-    int error = uv_tcp_bind(listener_.get(), reinterpret_cast<const sockaddr *>(&socketAddress), 0);
-    if (error == 0) {
-        error = uv_listen(reinterpret_cast<uv_stream_t *>(listener_.get()), kListenBacklog,
-                          [](uv_stream_t *listener, int status) {
-                              if (status == 0) static_cast<ClientConnections *>(listener->data)->accept();
-                          });
-    }
-    if (error != 0) {
-        throw ConfigError("can't listen on " + address.host + ":" + std::to_string(address.port) + ": " +
-                          uv_strerror(error));
-    }
+    listener_ = std::make_unique<TcpListener>(context_.loop, address, context_.clock, context_.timers,
+                                              [this](int descriptor) {
+                                                  accept({descriptor, context_.lastReadAt});
+                                              });
+}
+
+/// Stops to listen. Clients that the system has accepted by now may have sent calls, so they are taken in.
+void ClientConnections::closeListener() {
+    if (!listener_) return;
+    listener_->acceptWaiting();
+    listener_.reset();
+    if (deferredClient_) ::close(deferredClient_->descriptor);
+    deferredClient_.reset();
 }
 
 /// Closes the connection within `scope` that has been idle longest. Returns false if there is none.
@@ -241,21 +234,18 @@
 /// none of those can be closed, because they have input that was never read or await an answer, the new
 /// client waits. At the limit on all connections, the one that has been idle longest is closed; if none is
 /// idle, the new connection is closed at once.
-void ClientConnections::accept() {
-    const Timestamp inputSince = acceptDeferredSince_ ? *acceptDeferredSince_ : context_.lastReadAt;
-    acceptDeferredSince_.reset();
-    if (nonCallingCount_ >= context_.limits.maxNonCallingClients &&
-        !evictLongestIdle(EvictionScope::nonCalling)) {
-        acceptDeferredSince_ = inputSince;
-        return;
-    }
+void ClientConnections::accept(DeferredClient client) {
+    const bool isFull = nonCallingCount_ >= context_.limits.maxNonCallingClients &&
+                        !evictLongestIdle(EvictionScope::nonCalling);
+    deferredClient_ = isFull ? std::optional(client) : std::nullopt;
+    listener_->setPaused(isFull);
+    if (isFull) return;
     const bool hasRoom =
         connections_.size() < context_.limits.maxClientConnections || evictLongestIdle(EvictionScope::all);
     const ClientId id{++lastClientId_};
     lastAcceptedAt_ = context_.clock.now();
-    auto connection = std::make_unique<Connection>(*this, id, lastAcceptedAt_, inputSince);
-    connection->tcp =
-        TcpConnection::accept(reinterpret_cast<uv_stream_t *>(listener_.get()), connection.get());
+    auto connection = std::make_unique<Connection>(*this, id, lastAcceptedAt_, client.inputSince);
+    connection->tcp = TcpConnection::adopt(context_.loop, client.descriptor, connection.get());
     if (!connection->tcp) return;
     ++(hasRoom ? context_.metrics.clientsAccepted : context_.metrics.clientsRejected);
     if (hasRoom) connections_.emplace(id, std::move(connection));
@@ -330,7 +320,7 @@
             connection.shutdownWrite(context_.clock.now());
     }
     while (incompleteCommandBytes_ > context_.limits.maxBufferedBytesPerKind) closeOldestIncompleteCommand();
-    if (acceptDeferredSince_ && listener_) accept();
+    if (deferredClient_) accept(*deferredClient_);
 }
 
 /// Closes the connection whose command has been incomplete for longest, to free memory for the others.
@@ -377,7 +367,7 @@
     const Timestamp now = context_.clock.now();
     isClosingIdle_ = true;
     if (now - lastAcceptedAt_ > kNoNewClientPeriod || now - stopStartedAt_ > kMaxAcceptPeriod)
-        listener_.reset();
+        closeListener();
     Duration longestTimeout{};
     for (const Route &route : context_.startDocument.settings.engine.routes)
         longestTimeout = std::max(longestTimeout, route.clientTimeout);
@@ -392,7 +382,7 @@
     });
     if (now - stopStartedAt_ > longestTimeout + kStopMargin) answerRemainingCalls();
     if (now - stopStartedAt_ > longestTimeout + kStopMargin + kFinalAnswerPeriod) {
-        listener_.reset();
+        closeListener();
         connections_.clear();
     }
     if (!isStopped()) context_.timers.schedule(now + kStopPollInterval, [this] { continuePlannedStop(); });
--- a/src/net/client_connections.hpp
+++ b/src/net/client_connections.hpp
@@ -10,6 +10,7 @@
 #include "core/pending_calls.hpp"
 #include "server_context.hpp"
 #include "tcp_connection.hpp"
+#include "tcp_listener.hpp"
 
 namespace arrowstile {
 
@@ -38,11 +39,14 @@
     struct Connection;
     /// Which connections may be closed to free a socket for another.
     enum class EvictionScope { all, nonCalling, calling };
-    struct ListenerCloser {
-        void operator()(uv_tcp_t *listener) const;
+    /// A connection that was accepted by the system but for which there is no room yet.
+    struct DeferredClient {
+        int descriptor;
+        Timestamp inputSince;  ///< the earliest time at which its input may have arrived
     };
 
-    void accept();
+    void accept(DeferredClient client);
+    void closeListener();
     bool evictLongestIdle(EvictionScope scope);
     void closeOverdueConnections();
     void closeOldestIncompleteCommand();
@@ -53,7 +57,8 @@
 
     ServerContext &context_;
     PendingCallTable &pendingCalls_;
-    std::unique_ptr<uv_tcp_t, ListenerCloser> listener_;
+    std::unique_ptr<TcpListener> listener_;
+    std::optional<DeferredClient> deferredClient_;
     std::size_t unsentBytes_ = 0;             ///< of answers, over all connections
     std::size_t incompleteCommandBytes_ = 0;  ///< buffered, over all connections
     std::size_t nonCallingCount_ = 0;         ///< connections that have not sent an API call
@@ -65,8 +70,6 @@
     bool isClosingIdle_ = false;  ///< the planned stop closes connections when they are idle
     Timestamp stopStartedAt_{};
     Timestamp lastAcceptedAt_{};
-    /// Set while a client waits to be accepted: the earliest time at which its input may have arrived.
-    std::optional<Timestamp> acceptDeferredSince_;
 };
 
 }  // namespace arrowstile
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -1,6 +1,7 @@
 #include "tcp_connection.hpp"
 
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <cerrno>
 #include <cstring>
@@ -81,9 +82,12 @@
     return nullptr;
 }
 
-TcpConnection::Ptr TcpConnection::accept(uv_stream_t *listener, Handler *handler) {
-    Ptr connection(new TcpConnection(listener->loop, handler));
-    if (uv_accept(listener, reinterpret_cast<uv_stream_t *>(&connection->tcp_)) != 0) return nullptr;
+TcpConnection::Ptr TcpConnection::adopt(uv_loop_t *loop, int descriptor, Handler *handler) {
+    Ptr connection(new TcpConnection(loop, handler));
+    if (uv_tcp_open(&connection->tcp_, descriptor) != 0) {
+        ::close(descriptor);
+        return nullptr;
+    }
     connection->handleOpen();
     return connection;
 }
--- a/src/net/tcp_connection.hpp
+++ b/src/net/tcp_connection.hpp
@@ -57,8 +57,8 @@
     /// Starts to connect. Otherwise than with nullptr, onOpen or onClosed follows. Returns nullptr if
     /// connecting fails at once, and then sets `failure`.
     static Ptr connect(uv_loop_t *loop, const Address &to, Handler *handler, CloseReason &failure);
-    /// Accepts the next connection of a listening socket. Returns nullptr if there is none.
-    static Ptr accept(uv_stream_t *listener, Handler *handler);
+    /// Takes over the descriptor of a connected socket, which it closes if it returns nullptr.
+    static Ptr adopt(uv_loop_t *loop, int descriptor, Handler *handler);
 
     TcpConnection(const TcpConnection &) = delete;
     TcpConnection &operator=(const TcpConnection &) = delete;
