A failure of this machine to connect is not booked on the worker or the counter

Callers saw: -BUSY for all calls under a spell of EADDRNOTAVAIL, ENETUNREACH, ENOBUFS or ENFILE, and for up to 4 s after it, because every worker was ejected.

Cause: connections that this machine could not make were reported like those that the worker refused; the engine ejected the worker, and the call used up its three tries within a moment.

Change: Outcome::localFailure, for workers and the counter. It ejects nobody, changes no pace, and doesn't count against the maximum of tries; the call is tried again after 20 ms, within the first half of its time as before. New metric tries_failed_locally.

Tests: 'connect() or socket() that fails for a moment' failed before in all 8 combinations of error and route, passes now; a table test holds the counter's side.

--- a/include/arrowstile/events.hpp
+++ b/include/arrowstile/events.hpp
@@ -71,7 +71,8 @@
     connectFailed,  ///< not delivered: no connection, or closed before the request was fully written
     reset,          ///< the connection closed before the reply; the request may have had an effect
     cancelled,      ///< ended by CancelTry; it may have had an effect
-    notSent         ///< not attempted, for example for lack of time or connections
+    notSent,        ///< not attempted, for example for lack of time or connections
+    localFailure    ///< not delivered, because this machine could not connect; says nothing of the other side
 };
 
 /// A worker began to stream its reply to the client. From here on the reply belongs to the client, so the
@@ -125,7 +126,7 @@
 };
 
 /// A request to the counter (AddToCount) is over. With the outcome `answered` the amount was added, with
-/// `overloaded` and `connectFailed` it was not; with all others it may have been.
+/// `overloaded`, `connectFailed` and `localFailure` it was not; with all others it may have been.
 struct AddToCountEnded {
     CountName name;
     Outcome outcome{};
--- a/src/decision_engine.cpp
+++ b/src/decision_engine.cpp
@@ -116,10 +116,21 @@
 /// fewer gateways each may always have one try there.
 constexpr std::size_t kMinGatewayCountForTurns = 8;
 
+// Local failures.
+
+/// Pause before a call is tried again after this machine could not connect.
+constexpr Duration kLocalFailureRetryDelay = milliseconds(20);
+
 double toMs(Duration duration) { return static_cast<double>(duration.count()) / 1000; }
 
 Duration fromMs(double durationMs) { return Duration{std::llround(durationMs * 1000)}; }
 
+/// Whether nothing reached the worker.
+bool isUndelivered(Outcome outcome) {
+    return outcome == Outcome::connectFailed || outcome == Outcome::notSent ||
+           outcome == Outcome::localFailure;
+}
+
 /// Hashes a 64-bit value, with the final mixing step of SplitMix64.
 std::uint64_t mix64(std::uint64_t value) {
     value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ull;
@@ -263,7 +274,9 @@
     Timestamp deadline{};         ///< when the client stops waiting
     Timestamp sentAt{};           ///< when the last try was sent
     Timestamp mayHaveRunSince{};  ///< when the first try that may have run was sent
+    Timestamp retryNotBefore{};   ///< after a local failure
     unsigned triesSent = 0;
+    unsigned triesFailedLocally = 0;  ///< of triesSent; they don't count against the maximum
     bool hasTryInFlight = false;
     bool isHeld = false;          ///< in Customer::heldCalls or callsAwaitingTotals
     bool isAdmitted = false;      ///< within the customer's limits, as far as decided before it is sent
@@ -535,7 +548,8 @@
         counterRequests.erase(request);
         const bool isAnswered = ended.outcome == Outcome::answered;
         // For the pace an error reply counts like a total: both show that the counter works.
-        adjustRequestRate(isAnswered || ended.outcome == Outcome::errored, ended.latency);
+        if (ended.outcome != Outcome::localFailure)
+            adjustRequestRate(isAnswered || ended.outcome == Outcome::errored, ended.latency);
         const auto found = customers.find(id);
         if (found == customers.end()) return;
         Customer &customer = found->second;
@@ -572,7 +586,7 @@
                 customer.hasTotals = true;
                 customer.assumedOthersUnits = 0;
             }
-        } else if (ended.outcome == Outcome::overloaded || ended.outcome == Outcome::connectFailed) {
+        } else if (ended.outcome == Outcome::overloaded || isUndelivered(ended.outcome)) {
             // Nothing was added.
             count->unreported += added;
             count->needsReport = true;
@@ -584,7 +598,8 @@
         if (!isAnswered ||
             !(customer.unitCounts.current.isRequested || customer.unitCounts.previous.isRequested))
             decideCallsAwaitingTotals(id, customer);
-        reportAllCounts(id, customer);
+        // After a local failure the next attempt waits for a tick, or it would fail at once again.
+        ended.outcome == Outcome::localFailure ? enqueueReport(id, customer) : reportAllCounts(id, customer);
     }
 
     /// Whether decisions may rely on the counter: the settings allow its use, and its last request succeeded
@@ -871,8 +886,11 @@
         if (found == calls.end() || !found->second.hasTryInFlight) return;
         Call &call = found->second;
         call.hasTryInFlight = false;
-        const bool neverRan = ended.outcome == Outcome::overloaded ||
-                              ended.outcome == Outcome::connectFailed || ended.outcome == Outcome::notSent;
+        if (ended.outcome == Outcome::localFailure) {
+            ++call.triesFailedLocally;
+            call.retryNotBefore = now + kLocalFailureRetryDelay;
+        }
+        const bool neverRan = isUndelivered(ended.outcome) || ended.outcome == Outcome::overloaded;
         if (worker != workers.end())
             worker->second.triesInFlight = std::max(0, worker->second.triesInFlight - 1);
         if (worker != workers.end() && !neverRan && !std::exchange(call.mayHaveRun, true)) {
@@ -975,10 +993,13 @@
     bool mayRetry(const Call &call) const {
         const bool hasTime =
             call.mayHaveRun ? now < call.deadline - 2 * kTickInterval : hasTimeForFirstTry(call);
-        return hasTime && call.triesSent < settings.maxTries && isRepeatSafe(call) &&
-               now < call.receivedAt + routes[call.route.value].latencyTarget;
+        return hasTime && call.triesSent - call.triesFailedLocally < settings.maxTries &&
+               isRepeatSafe(call) && now < call.receivedAt + routes[call.route.value].latencyTarget;
     }
 
+    /// Whether nothing that will pass by itself keeps a queued call from its next try.
+    bool mayTryNow(const Call &call) const { return isListUsable && now >= call.retryNotBefore; }
+
     /// Whether another try does no harm: the call hasn't run, or is idempotent, or workers still recognize
     /// the repeat of a tokened call.
     bool isRepeatSafe(const Call &call) const {
@@ -1013,7 +1034,7 @@
             Call &call = found->second;
             if (!mayRetry(call)) {
                 giveUp(id, call);
-            } else if (const auto worker = isListUsable ? pickWorker(call) : std::nullopt) {
+            } else if (const auto worker = mayTryNow(call) ? pickWorker(call) : std::nullopt) {
                 sendTry(id, call, *worker);
             } else {
                 retryQueue.push_back(id);
--- a/src/net/core/metrics.cpp
+++ b/src/net/core/metrics.cpp
@@ -22,6 +22,7 @@
         {"tries_reset", triesReset},
         {"tries_called_off", triesCancelled},
         {"tries_not_sent", triesNotSent},
+        {"tries_failed_locally", triesFailedLocally},
         {"replies_spoilt", invalidReplies},
         {"worker_connections", workerConnections},
         {"counts_sent", countsSent},
--- a/src/net/core/metrics.hpp
+++ b/src/net/core/metrics.hpp
@@ -30,8 +30,9 @@
     std::uint64_t triesTimedOut = 0;
     std::uint64_t triesConnectFailed = 0;  ///< not delivered to the worker (Outcome::connectFailed)
     std::uint64_t triesReset = 0;
-    std::uint64_t triesCancelled = 0;  ///< cancelled by the gateway
-    std::uint64_t triesNotSent = 0;    ///< not attempted; not part of triesSent
+    std::uint64_t triesFailedLocally = 0;  ///< this machine could not connect (Outcome::localFailure)
+    std::uint64_t triesCancelled = 0;      ///< cancelled by the gateway
+    std::uint64_t triesNotSent = 0;        ///< not attempted; not part of triesSent
     /// Connections to workers closed with a try on them, because the reply was invalid, unexpected or too
     /// long, or was the longest incomplete one when memory was short.
     std::uint64_t invalidReplies = 0;
--- a/src/net/counter_client.cpp
+++ b/src/net/counter_client.cpp
@@ -53,7 +53,9 @@
         return 0;
     }
 
-    void onClosed(CloseReason) override { owner.closeConnection(*this, false); }
+    void onClosed(CloseReason reason) override {
+        owner.closeConnection(*this, false, undeliveredOutcome(reason));
+    }
 
     void handleResponse(const HttpResponse &response) {
         double total = 0;
@@ -91,6 +93,7 @@
     auto idle = std::find_if(connections_.rbegin(), connections_.rend(),
                              [](const auto &candidate) { return candidate->isOpen && !candidate->isBusy; });
     Connection *connection = nullptr;
+    CloseReason failure{};
     if (idle != connections_.rend()) {
         std::rotate(idle.base() - 1, idle.base(), connections_.end());
         connection = connections_.back().get();
@@ -102,10 +105,10 @@
             });
             closeConnection(**oldest, false);
         }
-        connection = connect();
+        connection = connect(failure);
     }
     ++context_.metrics.countsSent;
-    if (connection == nullptr) return reportEnd(action.name, now, Outcome::connectFailed, 0);
+    if (connection == nullptr) return reportEnd(action.name, now, undeliveredOutcome(failure), 0);
     char target[128];
     const int size =
         std::snprintf(target, sizeof target, "/v2/numbers/%016llx?delta=%.9g&life_ms=%lld",
@@ -135,11 +138,11 @@
     for (const auto &connection : connections_) connection->isRetired = true;
 }
 
-/// Starts to connect to the counter. Returns nullptr if there is no counter or connecting fails at once.
-CounterClient::Connection *CounterClient::connect() {
+/// Starts to connect to the counter. Returns nullptr if there is no counter, or if connecting fails at once,
+/// and then sets `failure`.
+CounterClient::Connection *CounterClient::connect(CloseReason &failure) {
     if (!context_.startDocument.counterAddress) return nullptr;
     auto created = std::make_unique<Connection>(*this);
-    CloseReason failure{};
     created->tcp =
         TcpConnection::connect(context_.loop, *context_.startDocument.counterAddress, created.get(), failure);
     if (!created->tcp) return nullptr;
@@ -150,16 +153,16 @@
 
 /// Closes a connection and reports the end of the request in flight on it, if any: as errored if a response
 /// came that can't be read, because then the amount was added; as reset if the whole request was handed to
-/// the system, because then the amount may have been added; and otherwise as connectFailed, because then it
+/// the system, because then the amount may have been added; and otherwise as `undelivered`, because then it
 /// was not. A connection whose request has not been reported as ended is closed only here.
-void CounterClient::closeConnection(Connection &connection, bool wasAnswered) {
+void CounterClient::closeConnection(Connection &connection, bool wasAnswered, Outcome undelivered) {
     const auto found = std::ranges::find_if(
         connections_, [&](const auto &candidate) { return candidate.get() == &connection; });
     const auto closing = std::move(*found);
     connections_.erase(found);
     if (!closing->isBusy || closing->hasTimedOut) return;
     const bool wasSent = closing->isOpen && closing->tcp->sentBytes() >= closing->writtenBytes;
-    const Outcome unanswered = wasSent ? Outcome::reset : Outcome::connectFailed;
+    const Outcome unanswered = wasSent ? Outcome::reset : undelivered;
     reportEnd(closing->countName, closing->sentAt, wasAnswered ? Outcome::errored : unanswered, 0);
 }
 
--- a/src/net/counter_client.hpp
+++ b/src/net/counter_client.hpp
@@ -31,8 +31,9 @@
 private:
     struct Connection;
 
-    Connection *connect();
-    void closeConnection(Connection &connection, bool wasAnswered);
+    Connection *connect(CloseReason &failure);
+    void closeConnection(Connection &connection, bool wasAnswered,
+                         Outcome undelivered = Outcome::connectFailed);
     void reportEnd(CountName name, Timestamp sentAt, Outcome outcome, double total);
     void closeIdleConnections();
 
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -44,6 +44,10 @@
     }
 }
 
+Outcome undeliveredOutcome(CloseReason reason) {
+    return reason == CloseReason::localFailure ? Outcome::localFailure : Outcome::connectFailed;
+}
+
 const char *toString(CloseReason reason) {
     switch (reason) {
         case CloseReason::peerClosed: return "closed by peer";
--- a/src/net/tcp_connection.hpp
+++ b/src/net/tcp_connection.hpp
@@ -4,6 +4,7 @@
 
 #include <uv.h>
 
+#include <arrowstile/events.hpp>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -24,6 +25,9 @@
 /// The reason that an error code of libuv (negative errno) stands for.
 CloseReason closeReasonOf(int uvError);
 
+/// The outcome of a request for which no connection could be made.
+Outcome undeliveredOutcome(CloseReason reason);
+
 /// A word for the log.
 const char *toString(CloseReason reason);
 
--- a/src/net/worker_connections.cpp
+++ b/src/net/worker_connections.cpp
@@ -22,8 +22,9 @@
 constexpr Duration kMinObservedIdle = milliseconds(20);
 
 const char *outcomeName(Outcome outcome) {
-    static constexpr const char *names[] = {"answered",       "errored", "overloaded", "timed out",
-                                            "connect failed", "reset",   "cancelled",  "not sent"};
+    static constexpr const char *names[] = {"answered",  "errored",        "overloaded",
+                                            "timed out", "connect failed", "reset",
+                                            "cancelled", "not sent",       "local failure"};
     return names[static_cast<std::size_t>(outcome)];
 }
 
@@ -68,11 +69,11 @@
     std::size_t onData(std::string_view bytes) override;
     std::size_t closeOnInvalidReply();
 
-    void onClosed(CloseReason) override {
+    void onClosed(CloseReason reason) override {
         const Timestamp idleUntil = inFlight.empty() ? owner.context_.clock.now() : inFlight.front().sentAt;
         if (isOpen && idleSince > Timestamp{} && !hasReceivedSinceIdle)
             owner.shortenIdleTimeout(idleUntil - idleSince);
-        owner.closeConnection(*this, Outcome::reset);
+        owner.closeConnection(*this, Outcome::reset, undeliveredOutcome(reason));
     }
 
     WorkerConnections &owner;
@@ -169,8 +170,9 @@
     if (connection != nullptr) {
         // An idle connection is reused; this is the usual case.
     } else if (connectionCount_ < context_.limits.maxWorkerConnections) {
-        connection = pool.hasValidAddress ? connect(pool, worker) : nullptr;
-        if (connection == nullptr) return reportEnd(request, Outcome::connectFailed, nullptr);
+        CloseReason failure = CloseReason::peerClosed;
+        connection = pool.hasValidAddress ? connect(pool, worker, failure) : nullptr;
+        if (connection == nullptr) return reportEnd(request, undeliveredOutcome(failure), nullptr);
     } else {
         const auto leastLoaded = std::ranges::min_element(pool.connections, {}, [](const auto &candidate) {
             return std::pair(!candidate->isOpen, candidate->inFlight.size());
@@ -219,12 +221,12 @@
     return nullptr;
 }
 
-/// Starts to connect to a worker. Returns nullptr if that fails at once.
-WorkerConnections::Connection *WorkerConnections::connect(ConnectionPool &pool, WorkerId worker) {
+/// Starts to connect to a worker. Returns nullptr if that fails at once, and then sets `failure`.
+WorkerConnections::Connection *WorkerConnections::connect(ConnectionPool &pool, WorkerId worker,
+                                                          CloseReason &failure) {
     auto created = std::make_unique<Connection>(*this, worker);
     Connection *connection = created.get();
     ++connectionCount_;
-    CloseReason failure{};
     connection->tcp = TcpConnection::connect(context_.loop, pool.address, connection, failure);
     if (!connection->tcp) return nullptr;
     ++context_.metrics.workerConnections;
@@ -236,9 +238,9 @@
 }
 
 /// Closes a connection and reports the end of all requests in flight on it: as `outcome` if the whole request
-/// was handed to the system, and otherwise as connectFailed, because then the worker can't have run it.
+/// was handed to the system, and otherwise as `undelivered`, because then the worker can't have run it.
 /// Connections with requests in flight are closed only here, so that the end of each request is reported.
-void WorkerConnections::closeConnection(Connection &connection, Outcome outcome) {
+void WorkerConnections::closeConnection(Connection &connection, Outcome outcome, Outcome undelivered) {
     auto &connections = pools_.at(connection.worker).connections;
     const auto found = std::ranges::find_if(
         connections, [&](const auto &candidate) { return candidate.get() == &connection; });
@@ -246,7 +248,7 @@
     connections.erase(found);
     for (const InFlightRequest &request : closing->inFlight) {
         const bool wasSent = closing->isOpen && closing->tcp->sentBytes() >= request.endOffset;
-        reportEnd(request, wasSent ? outcome : Outcome::connectFailed, nullptr);
+        reportEnd(request, wasSent ? outcome : undelivered, nullptr);
     }
 }
 
@@ -325,6 +327,7 @@
         case Outcome::reset: ++metrics.triesReset; break;
         case Outcome::cancelled: ++metrics.triesCancelled; break;
         case Outcome::notSent: ++metrics.triesNotSent; break;
+        case Outcome::localFailure: ++metrics.triesFailedLocally; break;
     }
     const Duration latency = context_.clock.now() - request.sentAt;
     const std::vector<double> load = reply != nullptr ? reply->load : std::vector<double>{};
--- a/src/net/worker_connections.hpp
+++ b/src/net/worker_connections.hpp
@@ -55,8 +55,9 @@
 
     void sendRequest(ConnectionPool &pool, WorkerId worker, InFlightRequest request, std::string command);
     Connection *takeIdleConnection(ConnectionPool &pool);
-    Connection *connect(ConnectionPool &pool, WorkerId worker);
-    void closeConnection(Connection &connection, Outcome outcome);
+    Connection *connect(ConnectionPool &pool, WorkerId worker, CloseReason &failure);
+    void closeConnection(Connection &connection, Outcome outcome,
+                         Outcome undelivered = Outcome::connectFailed);
     void reportEnd(const InFlightRequest &request, Outcome outcome, const WorkerReply *reply);
     void cleanUp();
     void shortenIdleTimeout(Duration observedIdle);
--- a/tests/test_decision_engine.cpp
+++ b/tests/test_decision_engine.cpp
@@ -1001,3 +1001,22 @@
     harness.advance(milliseconds(300));
     CHECK(harness.actionsOf<SendTry>().size() + harness.finalAnswerCount() == 1);
 }
+
+// Guards against a failure of this machine being taken for one of the counter: the pace fell to its minimum, and
+// the counter was distrusted.
+TEST_CASE("issue 29: a local failure changes neither the pace nor the trust in the counter, and adds nothing") {
+    EngineHarness harness;
+    harness.setWorkerCount(4).receiveCall(1, 0, 1);
+    REQUIRE(harness.actionsOf<AddToCount>().size() == 1);
+    for (int remaining = 50; remaining > 0; --remaining) {
+        const auto requests = harness.actionsOf<AddToCount>();
+        for (const AddToCount &request : requests)
+            harness.handle(AddToCountEnded{request.name, Outcome::localFailure, 0, {}});
+        // The addition is not repeated within the same moment.
+        CHECK(harness.actionsOf<AddToCount>().empty());
+        harness.advance(milliseconds(10));
+        const auto repeated = harness.actionsOf<AddToCount>();
+        REQUIRE(repeated.size() == 1);
+        CHECK(repeated[0].amount == 1);
+    }
+}
--- a/tests/test_gateway_faults.cpp
+++ b/tests/test_gateway_faults.cpp
@@ -28,3 +28,30 @@
         }
     }
 }
+
+// Guards against a failure of this machine being booked as one of the worker, which is then ejected, and
+// against calls that use up their tries on it.
+TEST_CASE("issue 29: connect() or socket() that fails for a moment ejects no worker and costs no call") {
+    for (const int error : {EADDRNOTAVAIL, ENETUNREACH, ENOBUFS, ENFILE}) {
+        for (const char *route : {"status", "dispatch"}) {
+            CAPTURE(std::string(std::strerror(error)));
+            CAPTURE(route);
+            GatewayFixture fixture;
+            const Socket client = fixture.makeReadyAndConnect();
+            const int workerPort = fixture.workerListener.localPort();
+            std::atomic<bool> isFailing = true;
+            const SystemCallFaults faults(
+                error == ENFILE ? SystemCallHooks{.socketError = [&] { return isFailing ? error : 0; }}
+                                : SystemCallHooks{.connectError = [&, workerPort](int port) {
+                                      return isFailing && port == workerPort ? error : 0;
+                                  }});
+            client.write(apiCall(route, 1000));
+            std::this_thread::sleep_for(milliseconds(300));
+            isFailing = false;
+            const Socket workerConnection = fixture.workerListener.accept(milliseconds(150));
+            CHECK(workerConnection.read(kCallEnd).find(route) != std::string::npos);
+            workerConnection.write(kProxiedReply);
+            CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+        }
+    }
+}
