Requests to workers are checked and composed when they are written

Callers saw: calls at a worker that had begun to drain, or at the former address of one that had moved, when the connection came up after the change; workers were told deadlines up to the connect time too late.

Cause: the command was composed and handed to the connection when the engine chose the worker. A connection that came up in the same iteration of the event loop, before the change was read, was flushed afterwards without a check; so was what waited for output in front of it. The deadline in the command was the one of the choice.

Change: a request stays queued at its connection and is composed and written when the connection is open and has no unsent output. It ends as notSent if by then its worker is not ready or has another process or address, if the call is closed, or if its time is over. Nothing is written while the list is in doubt; after an iteration of more than 30 ms the sockets are read again before. Connections to a former address or process take no further requests.

--- a/src/net/core/metrics.hpp
+++ b/src/net/core/metrics.hpp
@@ -23,7 +23,7 @@
     std::uint64_t callsAbandoned = 0;    ///< calls whose client disconnected before the final answer
 
     // All metrics of tries include probes.
-    std::uint64_t triesSent = 0;
+    std::uint64_t triesSent = 0;  ///< queued for a connection
     std::uint64_t triesAnswered = 0;
     std::uint64_t triesErrored = 0;
     std::uint64_t triesOverloaded = 0;  ///< rejected by the worker (Outcome::overloaded)
@@ -32,7 +32,7 @@
     std::uint64_t triesReset = 0;
     std::uint64_t triesFailedLocally = 0;  ///< this machine could not connect (Outcome::localFailure)
     std::uint64_t triesCancelled = 0;      ///< cancelled by the gateway
-    std::uint64_t triesNotSent = 0;        ///< not attempted; not part of triesSent
+    std::uint64_t triesNotSent = 0;        ///< not attempted (Outcome::notSent)
     /// Connections to workers closed with a try on them, because the reply was invalid, unexpected or too
     /// long, or was the longest incomplete one when memory was short.
     std::uint64_t invalidReplies = 0;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -11,6 +11,9 @@
 /// Actions may produce further events at once. Those that remain after this number of rounds are left to the
 /// next iteration of the event loop.
 constexpr int kMaxRoundsPerIteration = 8;
+/// Requests to workers are written by input that is no older than this: the list of workers, and which
+/// clients have gone. After a longer iteration the sockets are read once more before.
+constexpr Duration kMaxInputAge = milliseconds(30);
 /// If the event loop wakes up later than planned by more than this, the process was suspended meanwhile.
 constexpr Duration kMaxWakeDelay = milliseconds(5);
 
@@ -24,7 +27,10 @@
       clients_(context_, pendingCalls_),
       workers_(
           context_, [this](CallId call, std::string_view value) { handleWorkerAnswer(call, value); },
-          [this](CallId call) { return pendingCalls_.find(call) == nullptr; }),
+          [this](CallId call) {
+              const PendingCall *pending = pendingCalls_.find(call);
+              return pending != nullptr ? &pending->call : nullptr;
+          }),
       counter_(context_),
       discovery_(context_,
                  [this](const DiscoveryUpdate &update, WorkerListKind kind) {
@@ -130,9 +136,13 @@
         context_.timers.runDue(now);
     }
     updateListUsable();
+    // What was held over is written right after the sockets were read.
+    if (mustPollBeforeWrite_) workers_.flush(isListUsable_);
     for (int round = 0; round < kMaxRoundsPerIteration && !context_.pendingEvents.empty(); ++round)
         runEngine();
-    workers_.flush();
+    const bool isInputRecent = inputAge() <= kMaxInputAge;
+    workers_.flush(isListUsable_ && isInputRecent);
+    mustPollBeforeWrite_ = !isInputRecent && workers_.hasQueuedRequests();
     counter_.flush();
     clients_.flush();
     if (clients_.isStopped()) uv_stop(context_.loop);
@@ -168,10 +178,17 @@
     }
 }
 
-/// Limits the loop's wait for input to the time until the next timer is due, and to zero if events are
-/// pending.
+/// Time since the loop last returned from polling the sockets.
+Duration Gateway::inputAge() const {
+    const auto now = std::chrono::duration_cast<milliseconds>(std::chrono::nanoseconds(uv_hrtime()));
+    return now - milliseconds(uv_now(context_.loop));
+}
+
+/// Limits the loop's wait for input to the time until the next timer is due, and to zero if there is
+/// something to do at once.
 void Gateway::armWakeTimer() {
-    const auto due = context_.pendingEvents.empty() ? context_.timers.nextDue() : std::optional(Timestamp{});
+    const bool mustReturnAtOnce = !context_.pendingEvents.empty() || mustPollBeforeWrite_;
+    const auto due = mustReturnAtOnce ? std::optional(Timestamp{}) : context_.timers.nextDue();
     if (!due) return;
     const Timestamp now = context_.clock.now();
     const std::int64_t remainingUs = (*due - now).count();
@@ -193,7 +210,7 @@
     PendingCall *pending = pendingCalls_.find(action.call);
     const TryNumber tryNumber{static_cast<std::uint8_t>(pending != nullptr ? pending->tryCount++ : 0)};
     if (pending == nullptr) return workers_.reportNotSent(action, tryNumber);
-    workers_.sendTry(action, tryNumber, pending->call);
+    workers_.sendTry(action, tryNumber);
 }
 
 void Gateway::execute(const AnswerRateLimited &action) {
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -45,6 +45,7 @@
     void processIteration();
     void updateListUsable();
     void runEngine();
+    Duration inputAge() const;
     void armWakeTimer();
     void stop();
     void reload();
@@ -72,11 +73,12 @@
     CounterClient counter_;
     DiscoveryClient discovery_;
     PeerSocket peers_;
-    bool isListUsable_ = false;    ///< as last passed to the engine
-    Timestamp wakeBy_{};           ///< when the loop has to return from waiting for input
-    bool hasWokenLate_ = false;    ///< the current iteration began late, so it runs no timers
-    std::vector<Event> events_;    ///< being processed; a member to reuse its memory
-    std::vector<Action> actions_;  ///< being carried out; a member to reuse its memory
+    bool isListUsable_ = false;         ///< as last passed to the engine
+    bool mustPollBeforeWrite_ = false;  ///< requests to workers were held over for more recent input
+    Timestamp wakeBy_{};                ///< when the loop has to return from waiting for input
+    bool hasWokenLate_ = false;         ///< the current iteration began late, so it runs no timers
+    std::vector<Event> events_;         ///< being processed; a member to reuse its memory
+    std::vector<Action> actions_;       ///< being carried out; a member to reuse its memory
     std::unique_ptr<uv_prepare_t, HandleCloser> beforePoll_;
     std::unique_ptr<uv_check_t, HandleCloser> afterPoll_;
     std::unique_ptr<uv_timer_t, HandleCloser> wakeTimer_;
--- a/src/net/worker_connections.cpp
+++ b/src/net/worker_connections.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <tuple>
 
 namespace arrowstile {
 namespace {
@@ -30,15 +31,16 @@
 
 }  // namespace
 
-/// A try or a probe whose reply is awaited.
+/// A try or a probe that is queued, or whose reply is awaited.
 struct WorkerConnections::InFlightRequest {
     WorkerId worker;
     CallId call;          ///< of a try
     TryNumber tryNumber;  ///< of a try
     bool isProbe = false;
-    Timestamp sentAt{};
-    Duration timeout{};
-    std::uint64_t endOffset = 0;  ///< in the connection's output, of the byte after the request
+    Timestamp queuedAt{};
+    Timestamp deadline{};
+    bool isWritten = false;       ///< at least to the connection's output buffer
+    std::uint64_t endOffset = 0;  ///< once written: in the connection's output, of the byte after the request
     TimerQueue::Key timeoutTimer{};
 };
 
@@ -49,12 +51,14 @@
     bool isReady = false;
     bool isGone = false;
     bool hasValidAddress = false;
+    unsigned generation = 0;  ///< increased when the worker's process or address changes
     std::vector<std::unique_ptr<Connection>> connections;  ///< the most recently used one is last
 };
 
 /// A connection to a worker, with the tries and probes that were sent on it and are not over.
 struct WorkerConnections::Connection final : TcpConnection::Handler {
-    Connection(WorkerConnections &connections, WorkerId to) : owner(connections), worker(to) {}
+    Connection(WorkerConnections &connections, WorkerId to, unsigned ofGeneration)
+        : owner(connections), worker(to), generation(ofGeneration) {}
 
     ~Connection() {
         owner.incompleteReplyBytes_ -= incompleteReplyBytes;
@@ -65,12 +69,13 @@
     }
 
     void onOpen() override;
+    void onOutputSent() override { owner.unflushedConnections_.insert(this); }
 
     std::size_t onData(std::string_view bytes) override;
     std::size_t closeOnInvalidReply();
 
     void onClosed(CloseReason reason) override {
-        const Timestamp idleUntil = inFlight.empty() ? owner.context_.clock.now() : inFlight.front().sentAt;
+        const Timestamp idleUntil = inFlight.empty() ? owner.context_.clock.now() : inFlight.front().queuedAt;
         if (isOpen && idleSince > Timestamp{} && !hasReceivedSinceIdle)
             owner.shortenIdleTimeout(idleUntil - idleSince);
         owner.closeConnection(*this, Outcome::reset, undeliveredOutcome(reason));
@@ -78,21 +83,21 @@
 
     WorkerConnections &owner;
     const WorkerId worker;
+    const unsigned generation;  ///< of the pool when the connection was started
     TcpConnection::Ptr tcp;
-    std::deque<InFlightRequest> inFlight;  ///< in the order in which they were sent
+    std::deque<InFlightRequest> inFlight;  ///< in their order; those that are not written come last
     std::uint64_t writtenBytes = 0;
     std::size_t incompleteReplyBytes = 0;  ///< buffered input that is not a whole reply yet
-    Timestamp idleSince{};                 ///< when the last awaited reply was received; zero before that
+    Timestamp idleSince{};                 ///< when it opened or the last awaited reply was received
     TimerQueue::Key connectTimer{};
     bool isOpen = false;
-    bool hasReceivedSinceIdle = false;
+    bool hasReceivedSinceIdle = true;  ///< true also until the first reply
 };
 
-WorkerConnections::WorkerConnections(ServerContext &context, AnswerCallback onAnswer,
-                                     IsCallClosed isCallClosed)
+WorkerConnections::WorkerConnections(ServerContext &context, AnswerCallback onAnswer, FindCall findCall)
     : context_(context),
       onAnswer_(std::move(onAnswer)),
-      isCallClosed_(std::move(isCallClosed)),
+      findCall_(std::move(findCall)),
       idleTimeout_(context.startDocument.settings.workerIdleTimeout / kIdleTimeoutDivisor) {
     context_.timers.schedule(context_.clock.now() + kCleanupInterval, [this] { cleanUp(); });
 }
@@ -124,7 +129,9 @@
         pool.startedAt = listed.entry.startedAt;
         pool.isReady = listed.entry.state == WorkerState::ready;
         pool.isGone = listed.entry.state == WorkerState::gone;
-        if (hasMoved) closeIdleConnections(listed.entry.worker);
+        if (!hasMoved) continue;
+        ++pool.generation;
+        closeIdleConnections(listed.entry.worker);
     }
     for (auto &[id, pool] : pools_) {
         if (!pool.isReady) closeIdleConnections(id);
@@ -136,71 +143,132 @@
               nullptr);
 }
 
-void WorkerConnections::sendTry(const SendTry &action, TryNumber tryNumber, const ApiCall &call) {
+void WorkerConnections::sendTry(const SendTry &action, TryNumber tryNumber) {
     const auto found = pools_.find(action.worker);
     if (found == pools_.end()) return reportNotSent(action, tryNumber);
-    const Timestamp now = context_.clock.now();
-    InFlightRequest request{action.worker, action.call, tryNumber, false, now, action.deadline - now};
-    if (request.timeout <= Duration{}) return reportEnd(request, Outcome::notSent, nullptr);
-    std::string command;
-    call.appendCommand(command, request.timeout);
-    sendRequest(found->second, action.worker, request, std::move(command));
+    queueRequest(found->second,
+                 {action.worker, action.call, tryNumber, false, context_.clock.now(), action.deadline});
 }
 
 void WorkerConnections::sendProbe(WorkerId worker) {
     const auto found = pools_.find(worker);
     const Timestamp now = context_.clock.now();
-    InFlightRequest request{worker, {}, {}, true, now, context_.startDocument.settings.engine.connectTimeout};
+    const Timestamp deadline = now + context_.startDocument.settings.engine.connectTimeout;
+    const InFlightRequest request{worker, {}, {}, true, now, deadline};
     if (found == pools_.end()) return reportEnd(request, Outcome::connectFailed, nullptr);
+    queueRequest(found->second, request);
+}
+
+std::string WorkerConnections::probeCommand() const {
     std::string command;
     const bool isLoadWanted =
         context_.startDocument.settings.engine.loadReportMode == LoadReportMode::byProbe;
     resp::appendArrayHeader(command, isLoadWanted ? 2 : 1);
     resp::appendBulk(command, isLoadWanted ? "INFO" : "PING");
     if (isLoadWanted) resp::appendBulk(command, "load");
-    sendRequest(found->second, worker, request, std::move(command));
+    return command;
+}
+
+/// Queues a request on a connection of the pool, or reports its end if there is none.
+void WorkerConnections::queueRequest(ConnectionPool &pool, const InFlightRequest &request) {
+    Outcome failure{};
+    Connection *connection = connectionFor(pool, request.worker, failure);
+    if (connection == nullptr) return reportEnd(request, failure, nullptr);
+    ++context_.metrics.triesSent;
+    connection->inFlight.push_back(request);
+    scheduleTimeout(*connection, connection->inFlight.back());
+    if (connection->isOpen) unflushedConnections_.insert(connection);
 }
 
+/// Returns a connection for the next request, or nullptr, and then sets `failure`.
+///
 /// Each try gets a connection of its own, because a try that is given up closes its connection, and replies
 /// on a shared connection wait for each other. Tries share connections only when the maximum number of
 /// connections is reached, up to the number of tries per connection that the settings allow.
-void WorkerConnections::sendRequest(ConnectionPool &pool, WorkerId worker, InFlightRequest request,
-                                    std::string command) {
-    Connection *connection = takeIdleConnection(pool);
-    if (connection != nullptr) {
-        // An idle connection is reused; this is the usual case.
-    } else if (connectionCount_ < context_.limits.maxWorkerConnections) {
-        CloseReason failure = CloseReason::peerClosed;
-        connection = pool.hasValidAddress ? connect(pool, worker, failure) : nullptr;
-        if (connection == nullptr) return reportEnd(request, undeliveredOutcome(failure), nullptr);
-    } else {
-        const auto leastLoaded = std::ranges::min_element(pool.connections, {}, [](const auto &candidate) {
-            return std::pair(!candidate->isOpen, candidate->inFlight.size());
-        });
-        if (leastLoaded == pool.connections.end() ||
-            (*leastLoaded)->inFlight.size() >= context_.startDocument.settings.maxTriesPerConnection) {
-            return reportEnd(request, Outcome::notSent, nullptr);
-        }
-        connection = leastLoaded->get();
+WorkerConnections::Connection *WorkerConnections::connectionFor(ConnectionPool &pool, WorkerId worker,
+                                                                Outcome &failure) {
+    if (Connection *idle = takeIdleConnection(pool)) return idle;
+    if (connectionCount_ < context_.limits.maxWorkerConnections) {
+        CloseReason reason = CloseReason::peerClosed;
+        Connection *connecting = pool.hasValidAddress ? connect(pool, worker, reason) : nullptr;
+        failure = undeliveredOutcome(reason);
+        return connecting;
     }
-    ++context_.metrics.triesSent;
-    connection->tcp->write(command);
-    connection->writtenBytes += command.size();
-    request.endOffset = connection->writtenBytes;
+    const auto leastLoaded = std::ranges::min_element(pool.connections, {}, [this](const auto &candidate) {
+        return std::tuple(!isUsable(*candidate), !candidate->isOpen, candidate->inFlight.size());
+    });
+    failure = Outcome::notSent;
+    const std::size_t maxTries = context_.startDocument.settings.maxTriesPerConnection;
+    const bool hasRoom = leastLoaded != pool.connections.end() && (*leastLoaded)->inFlight.size() < maxTries;
+    return hasRoom ? leastLoaded->get() : nullptr;
+}
+
+void WorkerConnections::scheduleTimeout(Connection &connection, InFlightRequest &request) {
     request.timeoutTimer = context_.timers.schedule(
-        request.sentAt + request.timeout,
-        [this, connection, call = request.call, tryNumber = request.tryNumber] {
-            const auto found =
-                std::ranges::find_if(connection->inFlight, [&](const InFlightRequest &candidate) {
-                    return candidate.call == call && candidate.tryNumber == tryNumber;
-                });
-            const InFlightRequest timedOut = *found;
-            connection->inFlight.erase(found);
-            closeConnection(*connection, Outcome::reset);
-            reportEnd(timedOut, Outcome::timedOut, nullptr);
+        request.deadline, [this, &connection, call = request.call, tryNumber = request.tryNumber] {
+            handleTimeout(connection, call, tryNumber);
         });
-    connection->inFlight.push_back(request);
-    if (connection->isOpen) unflushedConnections_.insert(connection);
+}
+
+/// Ends a request that has reached its deadline. Its connection is closed if it was written there.
+void WorkerConnections::handleTimeout(Connection &connection, CallId call, TryNumber tryNumber) {
+    const auto found = std::ranges::find_if(connection.inFlight, [&](const InFlightRequest &candidate) {
+        return candidate.call == call && candidate.tryNumber == tryNumber;
+    });
+    const auto index = static_cast<std::size_t>(found - connection.inFlight.begin());
+    const InFlightRequest timedOut = takeRequest(connection, index);
+    if (timedOut.isWritten) closeConnection(connection, Outcome::reset);
+    reportEnd(timedOut, timedOut.isWritten ? Outcome::timedOut : Outcome::notSent, nullptr);
+}
+
+/// Removes a request from its connection, without reporting its end.
+WorkerConnections::InFlightRequest WorkerConnections::takeRequest(Connection &connection, std::size_t index) {
+    const auto position = connection.inFlight.begin() + static_cast<std::ptrdiff_t>(index);
+    const InFlightRequest taken = *position;
+    connection.inFlight.erase(position);
+    context_.timers.cancel(taken.timeoutTimer);
+    return taken;
+}
+
+/// Writes the requests that are queued on an open connection, as described at flush().
+void WorkerConnections::writeQueuedRequests(Connection &connection) {
+    std::size_t index = 0;
+    while (index < connection.inFlight.size() && connection.tcp->unsentBytes() == 0) {
+        InFlightRequest &request = connection.inFlight[index];
+        if (request.isWritten) {
+            ++index;
+            continue;
+        }
+        const std::string command = commandOf(connection, request);
+        if (command.empty()) {
+            reportEnd(takeRequest(connection, index), Outcome::notSent, nullptr);
+            continue;
+        }
+        connection.tcp->write(command);
+        connection.writtenBytes += command.size();
+        request.endOffset = connection.writtenBytes;
+        request.isWritten = true;
+        connection.tcp->flush();
+    }
+    if (connection.inFlight.empty() && !isUsable(connection)) closeConnection(connection, Outcome::reset);
+}
+
+/// Whether a connection may take further requests: its worker is ready and has the process and the address
+/// that the connection leads to.
+bool WorkerConnections::isUsable(const Connection &connection) const {
+    const ConnectionPool &pool = pools_.at(connection.worker);
+    return pool.isReady && connection.generation == pool.generation;
+}
+
+/// The command of a request that is to be written now; empty if it may not be written any more.
+std::string WorkerConnections::commandOf(const Connection &connection, const InFlightRequest &request) const {
+    if (!isUsable(connection)) return {};
+    if (request.isProbe) return probeCommand();
+    const ApiCall *call = findCall_(request.call);
+    const Duration timeLeft = request.deadline - context_.clock.now();
+    std::string command;
+    if (call != nullptr && timeLeft > Duration{}) call->appendCommand(command, timeLeft);
+    return command;
 }
 
 /// Returns the most recently used idle connection that is fit for use, or nullptr. Closes idle connections
@@ -224,7 +292,7 @@
 /// Starts to connect to a worker. Returns nullptr if that fails at once, and then sets `failure`.
 WorkerConnections::Connection *WorkerConnections::connect(ConnectionPool &pool, WorkerId worker,
                                                           CloseReason &failure) {
-    auto created = std::make_unique<Connection>(*this, worker);
+    auto created = std::make_unique<Connection>(*this, worker, pool.generation);
     Connection *connection = created.get();
     ++connectionCount_;
     connection->tcp = TcpConnection::connect(context_.loop, pool.address, connection, failure);
@@ -247,7 +315,8 @@
     const auto closing = std::move(*found);
     connections.erase(found);
     for (const InFlightRequest &request : closing->inFlight) {
-        const bool wasSent = closing->isOpen && closing->tcp->sentBytes() >= request.endOffset;
+        const bool wasSent =
+            request.isWritten && closing->isOpen && closing->tcp->sentBytes() >= request.endOffset;
         reportEnd(request, wasSent ? outcome : undelivered, nullptr);
     }
 }
@@ -255,8 +324,7 @@
 void WorkerConnections::Connection::onOpen() {
     owner.context_.timers.cancel(connectTimer);
     isOpen = true;
-    // The worker may have begun to drain, or gone, since the connection was started: it gets no new requests.
-    if (!owner.pools_.at(worker).isReady) return owner.closeConnection(*this, Outcome::connectFailed);
+    idleSince = owner.context_.clock.now();
     owner.unflushedConnections_.insert(this);
 }
 
@@ -267,10 +335,10 @@
     while (consumedBytes < bytes.size()) {
         const auto rest = bytes.substr(consumedBytes);
         const auto maxValueBytes = owner.context_.limits.maxReplyValueBytes;
-        const auto parsed =
-            inFlight.empty() || !(inFlight.front().isProbe || mayBecomeCallReply(rest, maxValueBytes))
-                ? resp::ParseResult::malformed
-                : resp::parseReply(rest, reply, maxValueBytes);
+        const auto parsed = inFlight.empty() || !inFlight.front().isWritten ||
+                                    !(inFlight.front().isProbe || mayBecomeCallReply(rest, maxValueBytes))
+                                ? resp::ParseResult::malformed
+                                : resp::parseReply(rest, reply, maxValueBytes);
         if (parsed == resp::ParseResult::incomplete) break;
         if (parsed == resp::ParseResult::malformed) return closeOnInvalidReply();
         consumedBytes += reply.consumedBytes;
@@ -296,7 +364,7 @@
     if (inFlight.empty()) {
         idleSince = owner.context_.clock.now();
         hasReceivedSinceIdle = false;
-        if (!owner.pools_.at(worker).isReady) {
+        if (!owner.isUsable(*this)) {
             owner.closeConnection(*this, Outcome::reset);
             return 0;
         }
@@ -329,7 +397,7 @@
         case Outcome::notSent: ++metrics.triesNotSent; break;
         case Outcome::localFailure: ++metrics.triesFailedLocally; break;
     }
-    const Duration latency = context_.clock.now() - request.sentAt;
+    const Duration latency = context_.clock.now() - request.queuedAt;
     const std::vector<double> load = reply != nullptr ? reply->load : std::vector<double>{};
     if (request.isProbe) {
         context_.pendingEvents.emplace_back(ProbeEnded{request.worker, outcome, latency, load});
@@ -348,7 +416,7 @@
         onAnswer_(request.call, reply->value);
         event.isCallClosed = true;
     } else {
-        event.isCallClosed = isCallClosed_(request.call);
+        event.isCallClosed = findCall_(request.call) == nullptr;
     }
     context_.pendingEvents.emplace_back(std::move(event));
 }
@@ -361,10 +429,9 @@
                     return !candidate.isProbe && candidate.call == call && candidate.tryNumber == tryNumber;
                 });
             if (found == connection->inFlight.end()) continue;
-            const InFlightRequest cancelled = *found;
-            context_.timers.cancel(cancelled.timeoutTimer);
-            connection->inFlight.erase(found);
-            closeConnection(*connection, Outcome::reset);
+            const auto index = static_cast<std::size_t>(found - connection->inFlight.begin());
+            const InFlightRequest cancelled = takeRequest(*connection, index);
+            if (cancelled.isWritten) closeConnection(*connection, Outcome::reset);
             return reportEnd(cancelled, Outcome::cancelled, nullptr);
         }
     }
@@ -383,8 +450,9 @@
                   [](const auto &connection) { return connection->isOpen && connection->inFlight.empty(); });
 }
 
-void WorkerConnections::flush() {
-    // The longest incomplete reply is given up first, so that the others can be completed.
+/// Closes connections until the incomplete replies fit into the memory. The longest one is given up first, so
+/// that the others can be completed.
+void WorkerConnections::dropExcessiveReplies() {
     while (incompleteReplyBytes_ > context_.limits.maxBufferedBytesPerKind) {
         Connection *longest = nullptr;
         for (auto &[id, pool] : pools_)
@@ -393,7 +461,12 @@
                     longest = connection.get();
         longest->closeOnInvalidReply();
     }
-    for (Connection *connection : std::exchange(unflushedConnections_, {})) connection->tcp->flush();
+}
+
+void WorkerConnections::flush(bool mayWrite) {
+    dropExcessiveReplies();
+    while (mayWrite && !unflushedConnections_.empty())
+        writeQueuedRequests(*unflushedConnections_.extract(unflushedConnections_.begin()).value());
 }
 
 /// Runs periodically: closes connections that were idle for too long, lets the idle timeout grow again and
--- a/src/net/worker_connections.hpp
+++ b/src/net/worker_connections.hpp
@@ -23,18 +23,18 @@
     /// Receives the value of a call that a worker answered. It has to send the value to the client and close
     /// the call.
     using AnswerCallback = std::function<void(CallId, std::string_view value)>;
-    /// Returns whether a call has its final answer or its client has gone.
-    using IsCallClosed = std::function<bool(CallId)>;
+    /// Returns a pending call; nullptr if it has its final answer or its client has gone.
+    using FindCall = std::function<const ApiCall *(CallId)>;
 
-    WorkerConnections(ServerContext &context, AnswerCallback onAnswer, IsCallClosed isCallClosed);
+    WorkerConnections(ServerContext &context, AnswerCallback onAnswer, FindCall findCall);
     ~WorkerConnections();
 
     /// Applies a change of discovery's list. Closes the idle connections to workers that are no longer ready,
     /// or whose process or address has changed.
     void updateWorkers(const DiscoveryUpdate &update);
-    /// Sends `call` to the worker that `action` names. Ends as notSent if the worker is unknown, the deadline
-    /// has passed or no connection is available.
-    void sendTry(const SendTry &action, TryNumber tryNumber, const ApiCall &call);
+    /// Queues a try for the worker that `action` names. It ends as notSent if the worker is unknown or no
+    /// connection is available, or if the conditions of flush() no longer hold.
+    void sendTry(const SendTry &action, TryNumber tryNumber);
     /// Gives up a try: closes its connection and reports the try as cancelled. Does nothing if it has ended.
     void cancelTry(CallId call, TryNumber tryNumber);
     /// Asks a worker for its load, if the settings say that workers report it in their replies to probes, or
@@ -42,9 +42,13 @@
     void sendProbe(WorkerId worker);
     /// Closes all connections to a worker on which no reply is awaited.
     void closeIdleConnections(WorkerId worker);
-    /// Sends all queued output. Before that, closes connections if incomplete replies take up too much
-    /// memory.
-    void flush();
+    /// If `mayWrite`, writes the queued requests whose connections are open, unless the output before them
+    /// waits for the system. A request ends as notSent instead if by now its worker is not ready, has another
+    /// process or address, or if the call is closed or its deadline has passed. Before that, closes
+    /// connections if incomplete replies take up too much memory.
+    void flush(bool mayWrite);
+    /// Whether flush() may have something to write.
+    bool hasQueuedRequests() const { return !unflushedConnections_.empty(); }
     /// Reports a try as notSent.
     void reportNotSent(const SendTry &action, TryNumber tryNumber);
 
@@ -53,7 +57,16 @@
     struct InFlightRequest;
     struct ConnectionPool;
 
-    void sendRequest(ConnectionPool &pool, WorkerId worker, InFlightRequest request, std::string command);
+    void queueRequest(ConnectionPool &pool, const InFlightRequest &request);
+    Connection *connectionFor(ConnectionPool &pool, WorkerId worker, Outcome &failure);
+    void scheduleTimeout(Connection &connection, InFlightRequest &request);
+    void handleTimeout(Connection &connection, CallId call, TryNumber tryNumber);
+    void writeQueuedRequests(Connection &connection);
+    bool isUsable(const Connection &connection) const;
+    std::string commandOf(const Connection &connection, const InFlightRequest &request) const;
+    std::string probeCommand() const;
+    InFlightRequest takeRequest(Connection &connection, std::size_t index);
+    void dropExcessiveReplies();
     Connection *takeIdleConnection(ConnectionPool &pool);
     Connection *connect(ConnectionPool &pool, WorkerId worker, CloseReason &failure);
     void closeConnection(Connection &connection, Outcome outcome,
@@ -64,7 +77,7 @@
 
     ServerContext &context_;
     AnswerCallback onAnswer_;
-    IsCallClosed isCallClosed_;
+    FindCall findCall_;
     std::map<WorkerId, ConnectionPool> pools_;
     std::set<Connection *> unflushedConnections_;
     std::size_t connectionCount_ = 0;
--- a/tests/system_call_faults.cpp
+++ b/tests/system_call_faults.cpp
@@ -86,11 +86,11 @@
     return realFunction<int(int, int, int)>("socket")(domain, type, protocol);
 }
 
-int epoll_pwait(int descriptor, epoll_event *events, int maxEvents, int timeoutMs, const sigset_t *signals) {
+int epoll_wait(int descriptor, epoll_event *events, int maxEvents, int timeoutMs) {
     const auto hooks = currentHooks();
     if (hooks.beforeWait) hooks.beforeWait();
     const int count =
-        realFunction<decltype(epoll_pwait)>("epoll_pwait")(descriptor, events, maxEvents, timeoutMs, signals);
+        realFunction<decltype(epoll_wait)>("epoll_wait")(descriptor, events, maxEvents, timeoutMs);
     const int error = errno;
     if (hooks.afterWait) hooks.afterWait();
     errno = error;
--- a/tests/test_decision_engine.cpp
+++ b/tests/test_decision_engine.cpp
@@ -1002,9 +1002,10 @@
     CHECK(harness.actionsOf<SendTry>().size() + harness.finalAnswerCount() == 1);
 }
 
-// Guards against a failure of this machine being taken for one of the counter: the pace fell to its minimum, and
-// the counter was distrusted.
-TEST_CASE("issue 29: a local failure changes neither the pace nor the trust in the counter, and adds nothing") {
+// Guards against a failure of this machine being taken for one of the counter: the pace fell to its minimum,
+// and the counter was distrusted.
+TEST_CASE(
+    "issue 29: a local failure changes neither the pace nor the trust in the counter, and adds nothing") {
     EngineHarness harness;
     harness.setWorkerCount(4).receiveCall(1, 0, 1);
     REQUIRE(harness.actionsOf<AddToCount>().size() == 1);
--- a/tests/test_gateway_discovery.cpp
+++ b/tests/test_gateway_discovery.cpp
@@ -122,3 +122,75 @@
     client.write(apiCall("status", 1000));
     CHECK(answerNextCall(fixture.workerListener));
 }
+
+/// Runs a function once, in the gateway's thread, before it waits for the connection to a port to come up.
+class OnConnecting {
+public:
+    OnConnecting(int port, std::function<void()> function)
+        : faults_({.connectError =
+                       [this, port](int connectedPort) {
+                           isConnecting_ = isConnecting_ || connectedPort == port;
+                           return 0;
+                       },
+                   .beforeWait =
+                       [this, function = std::move(function)] {
+                           if (isConnecting_ && !std::exchange(hasRun_, true)) function();
+                       }}) {}
+
+private:
+    bool isConnecting_ = false;
+    bool hasRun_ = false;
+    SystemCallFaults faults_;
+};
+
+// Guards against a try that was chosen by the old list and waits for its connection: the change is read in
+// the same iteration of the event loop in which the connection comes up, and before the first byte is
+// written.
+TEST_CASE("issue 29: a try whose connection comes up while its worker begins to drain is sent elsewhere") {
+    GatewayFixture fixture;
+    const Socket newWorkerListener = Socket::listen();
+    const Socket client = fixture.makeReadyAndConnect();
+    const OnConnecting onConnecting(fixture.workerListener.localPort(), [&] {
+        fixture.discoveryConnection.write(
+            workerListResponse(std::string(kDrainingWorker) + "," + readyWorker("v", newWorkerListener)));
+        std::this_thread::sleep_for(milliseconds(400));  // longer than the grace of the usual deployment
+    });
+    client.write(apiCall("dispatch", 2000));
+    const Socket newWorkerConnection = newWorkerListener.accept();
+    CHECK(newWorkerConnection.read(kCallEnd).find("c=dispatch") != std::string::npos);
+    newWorkerConnection.write(kProxiedReply);
+    CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+    CHECK(fixture.workerListener.accept().read(kCallEnd, milliseconds(100)).find("dispatch") ==
+          std::string::npos);
+}
+
+// Guards against a try for the old process or address of a worker, whose connection comes up after the
+// change.
+TEST_CASE("issue 29: a try whose connection comes up after its worker has moved goes to the new address") {
+    GatewayFixture fixture;
+    const Socket newListener = Socket::listen();
+    const Socket client = fixture.makeReadyAndConnect();
+    const OnConnecting onConnecting(fixture.workerListener.localPort(), [&] {
+        fixture.discoveryConnection.write(workerListResponse(readyWorker("w", newListener)));
+        std::this_thread::sleep_for(milliseconds(400));
+    });
+    client.write(apiCall("dispatch", 2000));
+    const Socket newConnection = newListener.accept();
+    CHECK(newConnection.read(kCallEnd).find("c=dispatch") != std::string::npos);
+    newConnection.write(kProxiedReply);
+    CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+}
+
+// Guards against a worker that is told a deadline later than the client's: the command was composed when the
+// try was chosen, and its connection came up later. A slack of 150 ms is allowed.
+TEST_CASE("issue 29: the time that a worker is told is what the client has left when the call is written") {
+    GatewayFixture fixture;
+    const Socket client = fixture.makeReadyAndConnect();
+    const OnConnecting onConnecting(fixture.workerListener.localPort(),
+                                    [] { std::this_thread::sleep_for(milliseconds(400)); });
+    client.write(apiCall("dispatch", 1000));
+    const std::string command = fixture.workerListener.accept().read(kCallEnd);
+    const std::size_t position = command.find(",d=");
+    REQUIRE(position != std::string::npos);
+    CHECK(std::stoi(command.substr(position + 3)) <= 1000 - 400 + 150);
+}
