--- a/tests/test_gateway_faults.cpp
+++ b/tests/test_gateway_faults.cpp
@@ -55,3 +55,37 @@
         }
     }
 }
+
+// Guards against calls sent by the old list while, and right after, this machine can't connect: the agent may
+// have been told of changes all the time.
+TEST_CASE("issue 29: while connect() fails, and when it works again, no call is sent by the old list") {
+    for (const int error : {ENETUNREACH, EADDRNOTAVAIL}) {
+        CAPTURE(std::string(std::strerror(error)));
+        GatewayFixture fixture;
+        const Socket newWorkerListener = Socket::listen();
+        const Socket client = fixture.makeReadyAndConnect();
+        client.write(apiCall("status", 1000));
+        const Socket workerConnection = fixture.workerListener.accept();
+        workerConnection.read(kCallEnd);
+        workerConnection.write(kProxiedReply);
+        CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+        std::atomic<bool> isFailing = true;
+        const SystemCallFaults faults({.connectError = [&](int) { return isFailing ? error : 0; }});
+        fixture.discoveryConnection.close();
+        std::this_thread::sleep_for(milliseconds(150));
+        // The connection to the worker is still open and idle.
+        client.write(apiCall("status", 10000));
+        CHECK(workerConnection.read(kCallEnd, milliseconds(2000)).find("Q.ASK") == std::string::npos);
+        isFailing = false;
+        fixture.discoveryConnection = fixture.discoveryListener.accept();
+        fixture.discoveryConnection.read(kHttpHeaderEnd);
+        CHECK(!fixture.workerListener.accept(milliseconds(300)).isOpen());
+        fixture.sendWorkerListDelta(R"({"name":"w","status":"Terminating"},)" +
+                                    readyWorker("v", newWorkerListener));
+        const Socket newConnection = newWorkerListener.accept();
+        CHECK(newConnection.read(kCallEnd).find("Q.ASK") != std::string::npos);
+        newConnection.write(kProxiedReply);
+        CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+        CHECK(!fixture.workerListener.accept(milliseconds(50)).isOpen());
+    }
+}
