The slow start of workers no longer relies on this machine's system clock alone

Seen by reading and in a table test: a gateway started on a machine whose clock is ahead took cold workers for warm ones, which overloads them; one whose clock is behind took warm workers for cold ones until its clock had caught up.

Cause: the age of a worker was this machine's time less the start that discovery states.

Change: the age counts only as far as the latest start of any worker confirms it, since that lies in the past; and a worker that has been on this gateway's list for a while has run at least so long. A start in the future, by a worker whose own clock is ahead, makes no other worker look warm. The price: after its own restart a gateway treats the workers that started last as cold until they have been listed for the warm-up time, unless younger ones exist. Not mended: the names of quota windows still follow the clock that the process started with.

--- a/src/decision_engine.cpp
+++ b/src/decision_engine.cpp
@@ -177,6 +177,7 @@
     /// Tries in flight up to which pickWorker() fills this worker in its first pass: their number at the last
     /// ranking plus one.
     double spreadLimit = 1;
+    Timestamp firstListedAt{};               ///< when this process of it was first on a list here
     double rankKey = 1;                      ///< expected relative latency; the lowest is tried first
     RecentSamples<16> relativeLatencies;     ///< of its answers, divided by the mean latency of the route
     RecentSamples<4> answeredTriesSentAtMs;  ///< when the last tries that it answered had been sent
@@ -326,6 +327,9 @@
     Timestamp requestRateReducedAt{};
     Timestamp counterAnsweredAt{};  ///< when the counter last replied, be it with an error
     Timestamp lastTrySentAt{};
+    /// The latest start of a worker less the time at which it was listed here, over all of them. The clock by
+    /// which the workers state their starts is ahead of this gateway's by at least this.
+    Duration minClockDifference = -Duration::max() / 2;
     bool isTicking = false;           ///< the periodic timer was started
     bool isCounterFailing = false;    ///< the last request to the counter failed
     bool isListUsable = true;         ///< calls may be sent by the present list of workers
@@ -1271,8 +1275,18 @@
 
     // ---- Slow start of cold workers ----
 
+    /// Time since a worker's process started, or less. The system clock of this machine or of the worker may
+    /// be wrong by an hour, so the age by their difference counts only as far as the starts of other workers
+    /// confirm it: the latest of them lies in the past. For as long as this gateway has had the worker on its
+    /// list it has run in any case.
+    Duration minAge(const Worker &worker) const {
+        const Duration byClock = now - worker.entry.startedAt;
+        const Duration byStarts = minClockDifference + byClock;
+        return std::max(now - worker.firstListedAt, std::min(byClock, byStarts));
+    }
+
     bool isCold(const Worker &worker) const {
-        return worker.entry.startedAt != Timestamp{} && now - worker.entry.startedAt < settings.warmUp;
+        return worker.entry.startedAt != Timestamp{} && minAge(worker) < settings.warmUp;
     }
 
     /// Number of tries that this gateway may have in flight at a worker, with regard to its warm-up. For a
@@ -1286,8 +1300,7 @@
     /// allowed tries, one to a gateway, because any period of that length can overlap two turns.
     double warmUpLimit(const Worker &worker) const {
         if (!isCold(worker)) return ownConcurrencyLimit(worker);
-        const double warmUpFraction =
-            std::max(0.0, toMs(now - worker.entry.startedAt) / toMs(settings.warmUp));
+        const double warmUpFraction = std::max(0.0, toMs(minAge(worker)) / toMs(settings.warmUp));
         const double capacity =
             settings.coldCapacityFraction + (1 - settings.coldCapacityFraction) * warmUpFraction;
         const double allowedTries = (settings.coldOverloadFactor - 1) * capacity *
@@ -1313,8 +1326,11 @@
         for (const WorkerEntry &entry : update.workers) {
             Worker &worker = workers[entry.worker];
             // A different start time means another process: nothing that was measured before applies to it.
-            if (worker.entry.startedAt != entry.startedAt) worker = {.triesInFlight = worker.triesInFlight};
+            if (worker.entry.startedAt != entry.startedAt || worker.firstListedAt == Timestamp{})
+                worker = {.triesInFlight = worker.triesInFlight, .firstListedAt = now};
             worker.entry = entry;
+            if (entry.startedAt != Timestamp{})
+                minClockDifference = std::max(minClockDifference, entry.startedAt - now);
             worker.healthByRoute.resize(routes.size());
         }
         std::erase_if(workers, [](const auto &idAndWorker) { return idAndWorker.second.isRemovable(); });
--- a/tests/test_gateway_faults.cpp
+++ b/tests/test_gateway_faults.cpp
@@ -89,3 +89,24 @@
         CHECK(!fixture.workerListener.accept(milliseconds(50)).isOpen());
     }
 }
+
+// Guards against deadlines and waits that follow the system clock when it is stepped.
+TEST_CASE("issue 29: a step of the system clock ends no call early and none late") {
+    for (const int stepSeconds : {3600, -3600, 7, -7}) {
+        CAPTURE(stepSeconds);
+        GatewayFixture fixture;
+        const Socket client = fixture.makeReadyAndConnect();
+        client.write(apiCall("dispatch", 700));
+        const Socket workerConnection = fixture.workerListener.accept();
+        workerConnection.read(kCallEnd);
+        stepSystemClock(stepSeconds);
+        CHECK(!client.waitReadable(milliseconds(300)));
+        workerConnection.write(kProxiedReply);
+        CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+        // A call without a reply ends in time.
+        client.write(apiCall("dispatch", 500));
+        CHECK(!client.waitReadable(milliseconds(400)));
+        CHECK(client.read("\r\n", milliseconds(200)) == "-ERR failed\r\n");
+        stepSystemClock(0);
+    }
+}
