--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for development. README.md lists what they need.
 JOBS ?= 4
 
-.PHONY: build lab test lint run clean
+.PHONY: build lab test soak lint run clean
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
@@ -17,6 +17,10 @@
 	cmake --build build-test -j$(JOBS)
 	ctest --test-dir build-test --output-on-failure
 
+# Plays days drawn from seeds 1 to 50 against the program, about a quarter of an hour.
+soak: build
+	python3 tests/rehearsal/soak.py build/arrowstile --seed 1 --days 50
+
 lint:
 	clang-format --dry-run --Werror $$(git ls-files '*.cpp' '*.hpp')
 
--- a/tests/rehearsal/restart_with_old_list.py
+++ b/tests/rehearsal/restart_with_old_list.py
@@ -19,6 +19,8 @@
 import threading
 import time
 
+from loopback import bulk, free_port, listen, port_of, send
+
 GRACE_S = 0.25 + 0.05  # of the usual deployment, with the slack for sockets
 READY_LIMIT_S = 6.0
 CALL_TIMEOUT_MS = 3000
@@ -28,18 +30,6 @@
 WORKER_REPLY = b"*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n"
 
 
-def listen():
-    listener = socket.socket()
-    listener.bind(("127.0.0.1", 0))
-    listener.listen(64)
-    listener.setblocking(False)
-    return listener
-
-
-def bulk(text):
-    return b"$%d\r\n%s\r\n" % (len(text), text)
-
-
 class Rehearsal:
     def __init__(self, options):
         self.options = options
@@ -59,20 +49,17 @@
             self.selector.register(listener, selectors.EVENT_READ, lambda l=listener, i=index: self.accept_worker(l, i))
         self.agent = listen()
         self.selector.register(self.agent, selectors.EVENT_READ, self.accept_agent)
-        probe = listen()
-        self.gateway_port = probe.getsockname()[1]
-        probe.close()
+        self.gateway_port = free_port()
 
     def endpoint(self, index, status):
-        port = self.workers[index].getsockname()[1]
-        return {"name": f"s-{index:08x}", "address": f"127.0.0.1:{port}", "zone": "", "type": "", "group": 0,
+        return {"name": f"s-{index:08x}", "address": f"127.0.0.1:{port_of(self.workers[index])}", "zone": "", "type": "", "group": 0,
                 "status": status, "weight": 1.0, "since_ms": 0}
 
     def start(self, directory):
         indices = range(self.options.workers)
         document = {
             "name": "rehearsed", "listen": f"127.0.0.1:{self.gateway_port}",
-            "discovery": "127.0.0.1:%d" % self.agent.getsockname()[1],
+            "discovery": f"127.0.0.1:{port_of(self.agent)}",
             "limits": {"memory_mb": 64, "sockets": 1024},
             "known": {"index": 1, "endpoints": [self.endpoint(index, "Ready") for index in indices]},
             "settings": {
@@ -114,19 +101,27 @@
         state["input"] += data
         if not state["input"].endswith(HTTP_HEADER_END):
             return
-        since = int(state["input"].split(b"since=")[1].split(b"&")[0]) if b"since=" in state["input"] else 0
+        request = state["input"]
         state["input"] = b""
-        if since >= 2 or self.options.silent:
+        since = int(request.split(b"since=")[1].split(b"&")[0]) if b"since=" in request else 0
+        timeout_ms = int(request.split(b"timeout_ms=")[1].split(b" ")[0]) if b"timeout_ms=" in request else 0
+        if self.options.silent:
             return
         if self.agent_asked_at is None:
             self.agent_asked_at = time.monotonic()
+        if since >= 2:
+            return self.after(timeout_ms / 1000, lambda: send(connection, self.list_answer([])))
         changes = [self.endpoint(index, "Terminating") for index in range(0, self.options.workers, 2)]
-        body = json.dumps({"index": 2, "snapshot": False, "endpoints": changes}).encode()
-        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        answer = self.list_answer(changes)
         pieces = 20
         for piece in range(pieces):
             part = answer[piece * len(answer) // pieces:(piece + 1) * len(answer) // pieces]
-            self.after(self.options.answer_s * (piece + 1) / pieces, lambda part=part: self.send(connection, part))
+            self.after(self.options.answer_s * (piece + 1) / pieces, lambda part=part: send(connection, part))
+
+    @staticmethod
+    def list_answer(changes):
+        body = json.dumps({"index": 2, "snapshot": False, "endpoints": changes}).encode()
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
 
     # Workers
 
@@ -146,7 +141,7 @@
         if index % 2 == 0 and age > GRACE_S and not self.options.silent:
             self.late_calls.append(age)
         for _ in range(data.count(b"first=0")):
-            self.send(connection, WORKER_REPLY)
+            send(connection, WORKER_REPLY)
 
     # The client: one connection, calls in a row without waiting for answers
 
@@ -163,7 +158,7 @@
 
     def ping(self):
         if self.ready_at is None:
-            self.send(self.client, b"*1\r\n$4\r\nPING\r\n")
+            send(self.client, b"*1\r\n$4\r\nPING\r\n")
             self.after(0.02, self.ping)
 
     def send_call(self):
@@ -216,15 +211,6 @@
             connection.close()
         return data
 
-    @staticmethod
-    def send(connection, data):
-        try:
-            connection.setblocking(True)
-            connection.sendall(data)
-            connection.setblocking(False)
-        except OSError:
-            pass
-
     def run(self):
         with tempfile.TemporaryDirectory() as directory:
             self.start(directory)
--- a/tests/rehearsal/soak.py
+++ b/tests/rehearsal/soak.py
@@ -23,6 +23,8 @@
 import threading
 import time
 
+from loopback import bulk, free_port, listen, port_of, send
+
 DRAIN_GRACE_S = 0.25 + 0.05  # of the usual deployment, with the slack for sockets
 HOLD_UP_S = 0.15  # a gateway may be held up for so long between reading its clock and writing
 MOVE_GRACE_S = 4.0  # after SIGHUP
@@ -36,34 +38,6 @@
 HEADER_END = b"\r\n\r\n"
 
 
-def listen():
-    listener = socket.socket()
-    listener.bind(("127.0.0.1", 0))
-    listener.listen(512)
-    listener.setblocking(False)
-    return listener
-
-
-def port_of(listener):
-    return listener.getsockname()[1]
-
-
-def free_port():
-    """A free port below those that the system gives to other sockets."""
-    for port in random.Random(os.getpid() + time.monotonic_ns()).sample(range(20000, 32000), 100):
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-                return port
-            except OSError:
-                continue
-    sys.exit("no free port")
-
-
-def bulk(text):
-    return b"$%d\r\n%s\r\n" % (len(text), text)
-
-
 class EventLoop:
     """Calls functions when sockets are readable and at given times, on one thread."""
 
@@ -227,15 +201,6 @@
         self.connections.clear()
 
 
-def send(sock, data):
-    try:
-        sock.setblocking(True)
-        sock.sendall(data)
-        sock.setblocking(False)
-    except OSError:
-        pass
-
-
 class Day:
     """What the seed draws."""
 
