No request is written to a worker in an iteration that woke up late without reading

Timers were left to the next iteration then, but requests that were held over for newer input were written. They now wait for the next iteration too, which has read.

No test of its own: the case needs a suspension inside the wait together with a request held over.

--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -129,7 +129,7 @@
 void Gateway::processIteration() {
     const Timestamp now = context_.clock.now();
     // If the process was suspended while the loop waited, the loop may return without having read the
-    // sockets. It then polls once more before any timer runs.
+    // sockets. It then polls once more before any timer runs and any request is written to a worker.
     hasWokenLate_ = now > wakeBy_ + kMaxWakeDelay && !hasWokenLate_;
     if (!hasWokenLate_) {
         context_.lastReadAt = now;
@@ -137,10 +137,10 @@
     }
     updateListUsable();
     // What was held over is written right after the sockets were read.
-    if (mustPollBeforeWrite_) workers_.flush(isListUsable_);
+    if (mustPollBeforeWrite_ && !hasWokenLate_) workers_.flush(isListUsable_);
     for (int round = 0; round < kMaxRoundsPerIteration && !context_.pendingEvents.empty(); ++round)
         runEngine();
-    const bool isInputRecent = inputAge() <= kMaxInputAge;
+    const bool isInputRecent = !hasWokenLate_ && inputAge() <= kMaxInputAge;
     workers_.flush(isListUsable_ && isInputRecent);
     mustPollBeforeWrite_ = !isInputRecent && workers_.hasQueuedRequests();
     counter_.flush();
--- a/src/net/tcp_connection.hpp
+++ b/src/net/tcp_connection.hpp
@@ -58,8 +58,8 @@
     };
     using Ptr = std::unique_ptr<TcpConnection, Closer>;
 
-    /// Starts to connect. Otherwise than with nullptr, onOpen or onClosed follows. Returns nullptr if
-    /// connecting fails at once, and then sets `failure`.
+    /// Starts to connect; onOpen or onClosed follows. Returns nullptr if that fails at once: `failure` is
+    /// then set, and neither follows.
     static Ptr connect(uv_loop_t *loop, const Address &to, Handler *handler, CloseReason &failure);
     /// Takes over the descriptor of a connected socket, which it closes if it returns nullptr.
     static Ptr adopt(uv_loop_t *loop, int descriptor, Handler *handler);
