--- a/review/standins.py
+++ b/review/standins.py
@@ -419,8 +419,8 @@
                 run.record.line("BREACH", breach)
             end(1 if breaches else 0,
                 "the rule was broken %d times" % len(breaches) if breaches else "the rule held")
-        except (CannotRun, OSError) as error:
-            end(2, "the case could not run: %s" % error)
+        except Exception as error:  # whatever it is, it says nothing about the program
+            end(2, "the case could not run: %s: %s" % (type(error).__name__, error))
 
     def end(code, verdict):
         run.record.line("with the disruption:" if has_trouble else "without the disruption:", verdict)
