The log says how many bytes a client had not fetched when it is closed for that

The line now names the bytes unsent, all bytes handed to the connection, the part written in this iteration, and the total.

--- a/src/net/client_connections.cpp
+++ b/src/net/client_connections.cpp
@@ -311,7 +311,10 @@
         const std::size_t unsentBytes = connection.updateUnsentBytes();
         if (unsentBytes > context_.limits.maxUnsentBytesPerClient ||
             (unsentBytes_ > context_.limits.maxBufferedBytesPerKind && unsentBytes > kUnsentLowWaterBytes)) {
-            context_.log.warning("a client that does not fetch its answers is let go");
+            context_.log.warning("a client that does not fetch its answers is let go: ", unsentBytes,
+                                 " bytes unsent of ", unsentBytes + connection.tcp->sentBytes(), ", ",
+                                 text.size(), " of them written just now; all clients together ",
+                                 unsentBytes_);
             closeConnection(id);
             continue;
         }
