Answers that wait for a client share a budget; a client that reads is never closed

What callers saw: a request at a silent worker held back the long answers behind it on the same connection. When it ended, the gateway closed the connection with up to 300 calls unanswered, though their answers were there.

Cause: flush() handed everything that was in order to the connection at once and compared the bounds on unsent bytes (2 MiB for one client, a tenth of the memory for all) right after that write, before the client could have read. The total over all clients closed whichever client was flushed next, also one that reads.

Change: a decision module without I/O, src/answer_memory.cpp, shares a quarter of the memory among the connections. Over its share a connection is not read from; an answer that finds no memory even so is replaced by an error in its turn. Answers are handed over 256 KiB at a time, so libuv no longer holds a second copy of all of them, and progress can be seen. A connection is closed for this only when its client has taken nothing for 20 s.

--- a/src/net/client_connections.cpp
+++ b/src/net/client_connections.cpp
@@ -9,13 +9,6 @@
 
 using std::chrono::milliseconds;
 
-// Reading from a connection pauses when it has this many commands without an answer or this many bytes of
-// answers that its client has not fetched. Neither a flood of commands nor a slow reader then uses up the
-// memory that all connections share. Reading resumes at half the commands and at the low-water mark.
-constexpr std::size_t kMaxPendingCommandCount = 512;
-constexpr std::size_t kUnsentHighWaterBytes = 256 * 1024;
-constexpr std::size_t kUnsentLowWaterBytes = 64 * 1024;
-
 /// A connection with a longer incomplete command is closed: the command would never end.
 constexpr std::size_t kMaxCommandBytes = resp::kMaxCommandValueBytes + 8 * 1024;
 /// When memory is short, connections with no more of an incomplete command than this are closed last.
@@ -57,7 +50,8 @@
     }
 
     ~Connection() {
-        owner.unsentBytes_ -= countedUnsentBytes;
+        owner.answerMemory_.update(countedUsage, {});
+        owner.pausedConnections_.erase(id);
         owner.incompleteCommandBytes_ -= incompleteCommandBytes;
         owner.nonCallingCount_ -= isNonCalling;
     }
@@ -113,15 +107,41 @@
                now - lastActiveAt > kCommandTimeout;
     }
 
-    void onOutputSent() override {
-        updateUnsentBytes();
-        updateReadPause();
+    /// Whether the client has answers to come, or to fetch.
+    bool isOwedAnswers() const { return answerQueue.pendingCount() > 0 || tcp->unsentBytes() > 0; }
+
+    /// For how long the system has taken nothing of the answers that are ready. Called periodically.
+    Duration timeWithoutProgress(Timestamp now) {
+        const std::uint64_t sentBytes = tcp->sentBytes();
+        if (tcp->unsentBytes() == 0 || std::exchange(lastSentBytes, sentBytes) != sentBytes)
+            lastProgressAt = now;
+        return now - lastProgressAt;
     }
 
-    /// Updates the total of unsent bytes over all connections. Returns the unsent bytes of this one.
-    std::size_t updateUnsentBytes() {
-        owner.unsentBytes_ += tcp->unsentBytes() - countedUnsentBytes;
-        return countedUnsentBytes = tcp->unsentBytes();
+    void onOutputSent() override { owner.unflushedConnections_.insert(id); }
+
+    /// Sends the answers that are in order, as far as the system takes them and a little beyond.
+    void sendReadyAnswers() {
+        while (answerQueue.hasReady() && tcp->unsentBytes() < kMaxUnsentBytes) {
+            std::string text;
+            answerQueue.popReady(text, kMaxUnsentBytes - tcp->unsentBytes());
+            tcp->write(text);
+            tcp->flush();
+        }
+    }
+
+    AnswerUsage answerUsage() const {
+        return {answerQueue.pendingCount(), answerQueue.unansweredCount(), answerQueue.answerBytes(),
+                tcp->unsentBytes()};
+    }
+
+    /// Brings this connection's part of the memory for answers up to date.
+    void updateAnswerUsage() {
+        const AnswerUsage usage = answerUsage();
+        owner.answerMemory_.update(countedUsage, usage);
+        countedUsage = usage;
+        std::uint64_t &peakBytes = owner.context_.metrics.peakAnswerBytes;
+        peakBytes = std::max<std::uint64_t>(peakBytes, owner.answerMemory_.heldBytes());
     }
 
     void onClosed(CloseReason) override { owner.closeConnection(id); }
@@ -141,19 +161,27 @@
         tcp->shutdownWrite();
     }
 
-    bool isIdle() const {
-        return answerQueue.pendingCount() == 0 && tcp->unsentBytes() == 0 && incompleteCommandBytes == 0;
-    }
+    bool isIdle() const { return !isOwedAnswers() && incompleteCommandBytes == 0; }
 
-    /// Pauses or resumes reading, depending on the commands and bytes that wait.
+    /// Pauses or resumes reading, depending on what the answers to this connection take up.
     void updateReadPause() {
-        const bool mustPause = answerQueue.pendingCount() >= kMaxPendingCommandCount ||
-                               tcp->unsentBytes() >= kUnsentHighWaterBytes;
-        const bool mayResume = answerQueue.pendingCount() <= kMaxPendingCommandCount / 2 &&
-                               tcp->unsentBytes() <= kUnsentLowWaterBytes;
-        if (!(isReadPaused ? mayResume : mustPause)) return;
-        isReadPaused = !isReadPaused;
-        tcp->setReadPaused(isReadPaused);
+        updateAnswerUsage();
+        if (isEnding) return;
+        const AnswerMemory &memory = owner.answerMemory_;
+        if (isReadPaused ? memory.mayResumeReading(countedUsage) : memory.mustPauseReading(countedUsage))
+            setReadPaused(!isReadPaused);
+    }
+
+    void setReadPaused(bool paused) {
+        isReadPaused = paused;
+        if (paused) {
+            ++owner.context_.metrics.readPauses;
+            owner.pausedConnections_.insert(id);
+            tcp->setReadPaused(true);
+            return;
+        }
+        owner.pausedConnections_.erase(id);
+        tcp->setReadPaused(false);
     }
 
     ClientConnections &owner;
@@ -161,9 +189,12 @@
     TcpConnection::Ptr tcp;
     AnswerQueue answerQueue;
     Timestamp lastActiveAt;
-    /// Until something was read: the earliest time at which input may have arrived. Then Timestamp::max().
+    /// Until all input was read once, and after a pause in reading until all of it was read again: the
+    /// earliest time at which input may have arrived. Otherwise Timestamp::max().
     Timestamp unreadSince;
-    std::size_t countedUnsentBytes = 0;  ///< this connection's part of the total over all
+    Timestamp lastProgressAt{};       ///< when the system last took output, or there was none
+    std::uint64_t lastSentBytes = 0;  ///< of the output, as of lastProgressAt
+    AnswerUsage countedUsage;         ///< as last passed to the memory that all connections share
     std::size_t incompleteCommandBytes = 0;
     bool hasSentCommand = false;  ///< a valid one
     bool isNonCalling = true;     ///< has not sent an API call
@@ -173,7 +204,7 @@
 };
 
 ClientConnections::ClientConnections(ServerContext &context, PendingCallTable &pendingCalls)
-    : context_(context), pendingCalls_(pendingCalls) {
+    : context_(context), pendingCalls_(pendingCalls), answerMemory_(context.limits.maxAnswerBytes) {
     context_.timers.schedule(context_.clock.now() + kCleanupInterval, [this] { closeOverdueConnections(); });
 }
 
@@ -216,17 +247,24 @@
     return true;
 }
 
-/// Runs periodically: closes the connections for which isOverdue() is true.
+/// Runs periodically: closes the connections for which isOverdue() is true, and those of clients that have
+/// not fetched any of their answers for too long.
 void ClientConnections::closeOverdueConnections() {
     const Timestamp now = context_.clock.now();
     context_.timers.schedule(now + kCleanupInterval, [this] { closeOverdueConnections(); });
-    std::vector<ClientId> overdue;
-    for (const auto &[id, connection] : connections_)
+    std::vector<ClientId> overdue, stalled;
+    for (const auto &[id, connection] : connections_) {
         if (connection->isOverdue(now)) overdue.push_back(id);
-    for (const ClientId id : overdue) {
-        ++context_.metrics.clientsEvicted;
+        if (isFetchTimedOut(connection->timeWithoutProgress(now))) stalled.push_back(id);
+    }
+    context_.metrics.clientsEvicted += overdue.size();
+    context_.metrics.clientsStalled += stalled.size();
+    for (const ClientId id : stalled) {
+        context_.log.warning("a client that does not fetch its answers is let go: ",
+                             connections_.at(id)->tcp->unsentBytes(), " bytes of answers unsent");
         closeConnection(id);
     }
+    for (const ClientId id : overdue) closeConnection(id);
 }
 
 /// Accepts a client. At the limit on connections that have not sent an API call, one of those is closed, so
@@ -298,39 +336,54 @@
     unflushedConnections_.insert(call.client);
 }
 
+void ClientConnections::sendProxiedAnswer(const PendingCall &call, std::string_view value) {
+    const auto found = connections_.find(call.client);
+    if (found == connections_.end()) return;
+    Connection &connection = *found->second;
+    std::string text = encodeProxiedAnswer(value);
+    answerMemory_.recordAnswerSize(text.size());
+    connection.updateAnswerUsage();
+    const bool isHeld = answerMemory_.mayHold(connection.countedUsage, text.size());
+    ++(isHeld ? context_.metrics.callsProxied : context_.metrics.callsErrored);
+    if (!isHeld) ++context_.metrics.answersNotHeld;
+    sendAnswer(call, isHeld ? std::move(text) : encodeErroredAnswer());
+    connection.updateAnswerUsage();
+}
+
 void ClientConnections::flush() {
-    for (const ClientId id : std::exchange(unflushedConnections_, {})) {
+    while (incompleteCommandBytes_ > context_.limits.maxBufferedBytesPerKind) endOldestIncompleteCommand();
+    updateReadPauses();
+    // Reading that resumes may add answers at once.
+    while (!unflushedConnections_.empty()) {
+        const ClientId id = unflushedConnections_.extract(unflushedConnections_.begin()).value();
         const auto found = connections_.find(id);
-        if (found == connections_.end()) continue;
-        Connection &connection = *found->second;
-        std::string text;
-        connection.answerQueue.popReady(text);
-        connection.tcp->write(text);
-        connection.tcp->flush();
-        connection.updateReadPause();
-        const std::size_t unsentBytes = connection.updateUnsentBytes();
-        if (unsentBytes > context_.limits.maxUnsentBytesPerClient ||
-            (unsentBytes_ > context_.limits.maxBufferedBytesPerKind && unsentBytes > kUnsentLowWaterBytes)) {
-            context_.log.warning("a client that does not fetch its answers is let go: ", unsentBytes,
-                                 " bytes unsent of ", unsentBytes + connection.tcp->sentBytes(), ", ",
-                                 text.size(), " of them written just now; all clients together ",
-                                 unsentBytes_);
-            closeConnection(id);
-            continue;
-        }
-        if (connection.answerQueue.pendingCount() == 0 &&
-            (connection.isEnding || (isClosingIdle_ && connection.isIdle())))
-            connection.shutdownWrite(context_.clock.now());
+        if (found != connections_.end()) flushConnection(*found->second);
     }
-    while (incompleteCommandBytes_ > context_.limits.maxBufferedBytesPerKind) closeOldestIncompleteCommand();
     if (deferredClient_) accept(*deferredClient_);
 }
 
+/// Sends what can be sent to a client, and ends the connection if that was the last.
+void ClientConnections::flushConnection(Connection &connection) {
+    connection.sendReadyAnswers();
+    connection.updateReadPause();
+    const bool mayEnd = connection.isEnding || (isClosingIdle_ && connection.isIdle());
+    if (mayEnd && connection.answerQueue.pendingCount() == 0) connection.shutdownWrite(context_.clock.now());
+}
+
+/// Reads again from connections whose share of the memory has grown because others take up less.
+void ClientConnections::updateReadPauses() {
+    for (const ClientId id : std::set(pausedConnections_)) {
+        const auto found = connections_.find(id);
+        if (found != connections_.end()) found->second->updateReadPause();
+    }
+}
+
 /// Closes the connection whose command has been incomplete for longest, to free memory for the others.
-void ClientConnections::closeOldestIncompleteCommand() {
+void ClientConnections::endOldestIncompleteCommand() {
     const auto oldest = std::ranges::min_element(connections_, {}, [](const auto &entry) {
-        return std::pair(entry.second->incompleteCommandBytes <= kSmallIncompleteCommandBytes,
-                         entry.second->lastActiveAt);
+        return std::tuple(entry.second->incompleteCommandBytes == 0,
+                          entry.second->incompleteCommandBytes <= kSmallIncompleteCommandBytes,
+                          entry.second->lastActiveAt);
     });
     ++context_.metrics.clientsEvicted;
     closeConnection(oldest->first);
--- a/src/net/client_connections.hpp
+++ b/src/net/client_connections.hpp
@@ -2,6 +2,7 @@
 /// The connections from clients: accepting them, reading their commands and writing the answers.
 #pragma once
 
+#include <arrowstile/answer_memory.hpp>
 #include <map>
 #include <memory>
 #include <optional>
@@ -27,6 +28,9 @@
     void setReady() { isReady_ = true; }
     /// Queues the final answer to a call, which has been removed from the table of pending calls.
     void sendAnswer(const PendingCall &call, std::string text);
+    /// The same for the value that a worker gave. If there is no memory for it, the call is answered as
+    /// errored.
+    void sendProxiedAnswer(const PendingCall &call, std::string_view value);
     /// Sends all answers that are due and enforces the limits on memory.
     void flush();
     /// Begins a planned stop: for a while new clients are still accepted, then each connection is closed as
@@ -49,7 +53,9 @@
     void closeListener();
     bool evictLongestIdle(EvictionScope scope);
     void closeOverdueConnections();
-    void closeOldestIncompleteCommand();
+    void endOldestIncompleteCommand();
+    void flushConnection(Connection &connection);
+    void updateReadPauses();
     void handleCommand(Connection &connection, const resp::Command &command);
     void closeConnection(ClientId id);
     void continuePlannedStop();
@@ -59,9 +65,10 @@
     PendingCallTable &pendingCalls_;
     std::unique_ptr<TcpListener> listener_;
     std::optional<DeferredClient> deferredClient_;
-    std::size_t unsentBytes_ = 0;             ///< of answers, over all connections
+    AnswerMemory answerMemory_;
     std::size_t incompleteCommandBytes_ = 0;  ///< buffered, over all connections
     std::size_t nonCallingCount_ = 0;         ///< connections that have not sent an API call
+    std::set<ClientId> pausedConnections_;    ///< that are not read from
     std::map<ClientId, std::unique_ptr<Connection>> connections_;
     std::set<ClientId> unflushedConnections_;
     std::uint64_t lastClientId_ = 0;
--- a/src/net/core/metrics.hpp
+++ b/src/net/core/metrics.hpp
@@ -14,12 +14,17 @@
     /// Connections closed to free sockets or memory for others, or because a client took too long to send a
     /// command or to close its side.
     std::uint64_t clientsEvicted = 0;
-    std::uint64_t badCommands = 0;  ///< malformed, unknown or invalid commands
+    std::uint64_t clientsStalled =
+        0;                         ///< closed because they did not fetch their answers; not in clientsEvicted
+    std::uint64_t readPauses = 0;  ///< times that reading from a client paused: answers take up its share
+    std::uint64_t peakAnswerBytes = 0;  ///< the most that the answers to all clients took up at once
+    std::uint64_t badCommands = 0;      ///< malformed, unknown or invalid commands
 
     std::uint64_t callsTaken = 0;        ///< API calls accepted, each of them owed a final answer
     std::uint64_t callsProxied = 0;      ///< final answers that came from a worker
     std::uint64_t callsRateLimited = 0;  ///< final answers; those for lack of memory are not in callsTaken
     std::uint64_t callsErrored = 0;      ///< final answers, with those given by a planned stop
+    std::uint64_t answersNotHeld = 0;    ///< calls errored because no memory was left for a worker's answer
     std::uint64_t callsAbandoned = 0;    ///< calls whose client disconnected before the final answer
 
     // All metrics of tries include probes.
--- a/src/net/core/pending_calls.cpp
+++ b/src/net/core/pending_calls.cpp
@@ -6,6 +6,7 @@
 
 AnswerSlot AnswerQueue::reserveSlot() {
     answers_.emplace_back();
+    ++unansweredCount_;
     return {firstSlot_ + answers_.size() - 1};
 }
 
@@ -13,14 +14,18 @@
     if (slot.value < firstSlot_ || slot.value - firstSlot_ >= answers_.size()) return false;
     auto &answer = answers_[slot.value - firstSlot_];
     if (answer) return false;
+    answerBytes_ += text.size();
+    --unansweredCount_;
     answer = std::move(text);
     return true;
 }
 
-void AnswerQueue::popReady(std::string &out) {
-    for (; !answers_.empty() && answers_.front(); ++firstSlot_) {
+void AnswerQueue::popReady(std::string &out, std::size_t maxBytes) {
+    while (hasReady() && out.size() < maxBytes) {
         out += *answers_.front();
+        answerBytes_ -= answers_.front()->size();
         answers_.pop_front();
+        ++firstSlot_;
     }
 }
 
--- a/src/net/core/pending_calls.hpp
+++ b/src/net/core/pending_calls.hpp
@@ -28,14 +28,23 @@
     /// Sets the encoded answer of a slot. Returns false without effect if the slot has one already or was
     /// never reserved, so that each command is answered once.
     bool fillSlot(AnswerSlot slot, std::string text);
-    /// Appends to `out` the answers up to the first slot without one, and removes them from the queue.
-    void popReady(std::string &out);
+    /// Appends to `out` the answers up to the first slot without one, and removes them from the queue. Stops
+    /// when `out` holds `maxBytes` or more.
+    void popReady(std::string &out, std::size_t maxBytes);
+    /// Whether popReady() has something to append.
+    bool hasReady() const { return !answers_.empty() && answers_.front(); }
     /// Number of reserved slots whose answers have not been removed by popReady().
     std::size_t pendingCount() const { return answers_.size(); }
+    /// Those of them without an answer.
+    std::size_t unansweredCount() const { return unansweredCount_; }
+    /// Total size of the answers in the queue.
+    std::size_t answerBytes() const { return answerBytes_; }
 
 private:
     std::deque<std::optional<std::string>> answers_;
     std::uint64_t firstSlot_ = 0;  ///< slot of answers_.front()
+    std::size_t unansweredCount_ = 0;
+    std::size_t answerBytes_ = 0;
 };
 
 /// An API call that awaits its final answer.
--- a/src/net/core/resource_limits.cpp
+++ b/src/net/core/resource_limits.cpp
@@ -25,10 +25,8 @@
     maxCallingClients = std::min<std::size_t>(maxSockets / 4, maxClientConnections - maxNonCallingClients);
     maxWorkerConnections = usableSockets - maxCounterConnections - maxClientConnections;
     maxBufferedBytesPerKind = memoryBytes / 10;
+    maxAnswerBytes = memoryBytes / 4;
     maxReplyValueBytes = memoryBytes / 64;
-    // At least two of the longest values: one is passed on while another waits.
-    maxUnsentBytesPerClient =
-        std::max(2 * maxReplyValueBytes, std::min<std::size_t>(maxBufferedBytesPerKind / 2, 2 * 1024 * 1024));
 }
 
 }  // namespace arrowstile
--- a/src/net/core/resource_limits.hpp
+++ b/src/net/core/resource_limits.hpp
@@ -20,11 +20,12 @@
     std::size_t maxCallingClients;
     std::size_t maxWorkerConnections;
     std::size_t maxCounterConnections;
-    /// Total bytes over all connections, separately for each of these kinds: bodies of pending calls, answers
-    /// not yet sent to clients, incomplete commands, incomplete replies of workers.
+    /// Total bytes over all connections, separately for each of these kinds: bodies of pending calls,
+    /// incomplete commands, incomplete replies of workers.
     std::size_t maxBufferedBytesPerKind;
-    std::size_t maxReplyValueBytes;       ///< longest value in a worker's reply
-    std::size_t maxUnsentBytesPerClient;  ///< answers that one client hasn't received yet
+    /// Total bytes of answers that wait for an earlier one or for their clients, with the calls in progress.
+    std::size_t maxAnswerBytes;
+    std::size_t maxReplyValueBytes;  ///< longest value in a worker's reply
 };
 
 }  // namespace arrowstile
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -202,8 +202,7 @@
 void Gateway::handleWorkerAnswer(CallId call, std::string_view value) {
     const auto closed = pendingCalls_.remove(call);
     if (!closed) return;
-    ++context_.metrics.callsProxied;
-    clients_.sendAnswer(*closed, encodeProxiedAnswer(value));
+    clients_.sendProxiedAnswer(*closed, value);
 }
 
 void Gateway::execute(const SendTry &action) {
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -131,10 +131,12 @@
                           static_cast<unsigned>(self.inputBuffer_.size() - self.inputEnd_));
 }
 
-void TcpConnection::onRead(uv_stream_t *handle, ssize_t size, const uv_buf_t *) {
+void TcpConnection::onRead(uv_stream_t *handle, ssize_t size, const uv_buf_t *buffer) {
     TcpConnection &self = *toConnection(handle->data);
-    if (self.handler_ == nullptr || size == 0) return;
+    if (self.handler_ == nullptr) return;
     if (size < 0) return self.handleClose(CloseReason::peerClosed);
+    self.hasReadAllInput_ = static_cast<std::size_t>(size) < buffer->len;
+    if (size == 0) return;
     self.inputEnd_ += static_cast<std::size_t>(size);
     self.deliverInput();
 }
@@ -184,6 +186,17 @@
     uv_shutdown(&shutdownRequest_, reinterpret_cast<uv_stream_t *>(&tcp_), [](uv_shutdown_t *, int) {});
 }
 
+std::uint64_t TcpConnection::sentBytes() const {
+    if (outputBeingWritten_.empty()) return sentBytes_;
+    const auto handle = reinterpret_cast<const uv_stream_t *>(&tcp_);
+    return sentBytes_ + outputBeingWritten_.size() - uv_stream_get_write_queue_size(handle);
+}
+
+void TcpConnection::discardInput() {
+    inputBuffer_ = {};
+    inputBegin_ = inputEnd_ = 0;
+}
+
 bool TcpConnection::hasUnreadInput() const {
     uv_os_fd_t descriptor;
     char byte;
@@ -199,6 +212,7 @@
         uv_read_stop(handle);
     } else {
         uv_read_start(handle, onAllocate, onRead);
+        hasReadAllInput_ = !hasUnreadInput();
         // No further input need arrive to trigger the processing of what was read before the pause.
         if (inputBegin_ < inputEnd_) deliverInput();
     }
--- a/src/net/tcp_connection.hpp
+++ b/src/net/tcp_connection.hpp
@@ -75,12 +75,18 @@
     void shutdownWrite();
     /// Stops reading, or resumes it and passes input that was read before to the handler again.
     void setReadPaused(bool paused);
+    /// Frees all input that was read and not consumed. Not to be called from within onData().
+    void discardInput();
     /// Whether input, or the end of the connection, has arrived in the system and was not read yet.
     bool hasUnreadInput() const;
-    /// Bytes written that were not handed to the system yet.
+    /// Whether everything that had arrived was read when the sockets were last read. False after a pause
+    /// until what has gathered in the system is read.
+    bool hasReadAllInput() const { return hasReadAllInput_; }
+    /// Bytes written that still take up memory. Those that libuv has begun to write count until all of them
+    /// were handed to the system.
     std::size_t unsentBytes() const { return queuedOutput_.size() + outputBeingWritten_.size(); }
     /// Bytes handed to the system since the connection was made.
-    std::uint64_t sentBytes() const { return sentBytes_; }
+    std::uint64_t sentBytes() const;
 
 private:
     TcpConnection(uv_loop_t *loop, Handler *handler);
@@ -105,7 +111,8 @@
     std::size_t inputEnd_ = 0;
     std::string queuedOutput_;        ///< not handed to libuv yet
     std::string outputBeingWritten_;  ///< in use by writeRequest_
-    std::uint64_t sentBytes_ = 0;
+    std::uint64_t sentBytes_ = 0;     ///< without what has been sent of outputBeingWritten_
+    bool hasReadAllInput_ = true;
     bool isOpen_ = false;
     bool isWriteShutdown_ = false;
     bool isClosed_ = false;
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -148,14 +148,17 @@
     int maxSockets = 1024;
     /// Whether the gateway starts with a cached list of workers.
     bool hasCachedList = true;
+    int memoryMb = 32;  ///< the start document's `limits.memory_mb`
+    int burst = 100;    ///< of the plan, in units
 };
 
 /// A gateway in a thread of its own, with listeners that stand in for discovery, the counter and one worker.
 /// The list of workers that it starts with is version 1 and names that worker, "w", as ready.
 ///
 /// Its routes are "status" (idempotent) and "dispatch" (non-idempotent), both with a latency target of 800 ms
-/// and a client timeout of 1 s; its one plan has a rate of 1 unit a second and a burst of 100 units. A call
-/// has at most three tries; the counter's timeout is 50 ms, the idle timeout of workers 600 ms.
+/// and a client timeout of 1 s; its one plan has a rate of 1 unit a second and a burst of 100 units unless
+/// the options say more. A call has at most three tries; the counter's timeout is 50 ms, the idle timeout of
+/// workers 600 ms.
 struct GatewayFixture {
     /// Starts the gateway and takes its first request to discovery, which stays unanswered.
     explicit GatewayFixture(const GatewayOptions &options = {}) {
@@ -165,9 +168,9 @@
         gatewayPort = portFinder.localPort();
         portFinder.close();
         startDocument = parseStartDocument(
-            R"({"limits":{"memory_mb":32,"sockets":)" + std::to_string(options.maxSockets) +
-            R"(},"listen":)" + addressJson(gatewayPort) + R"(,"discovery":)" +
-            addressJson(discoveryListener.localPort()) + R"(,"counter":)" +
+            R"({"limits":{"memory_mb":)" + std::to_string(options.memoryMb) + R"(,"sockets":)" +
+            std::to_string(options.maxSockets) + R"(},"listen":)" + addressJson(gatewayPort) +
+            R"(,"discovery":)" + addressJson(discoveryListener.localPort()) + R"(,"counter":)" +
             addressJson(counterListener.localPort()) +
             (options.hasCachedList
                  ? R"(,"known":{"index":1,"endpoints":[)" + readyWorker("w", workerListener) + "]}"
@@ -175,9 +178,11 @@
             R"(,"settings":{"balancers":1,"rules":{"rampTimeMs":1000},"classes":[
             {"name":"status","effect":"safe","onTimeMs":800,"deadlineMs":1000},
             {"name":"dispatch","effect":"unsafe","onTimeMs":800,"deadlineMs":1000}],
-            "packages":[{"name":"basic","refill":1,"storeSize":100}],"familyInfo":{"mayCount":true,"countLimitMs":50},
+            "packages":[{"name":"basic","refill":1,"storeSize":)" +
+            std::to_string(options.burst) + R"(}],"familyInfo":{"mayCount":true,"countLimitMs":50},
             "permissions":{"cancel":true,"retryAfter":true,"sendCap":3,"maxRetryAfterMs":1000,"connectTimeoutMs":250,
             "keepaliveMs":600,"streamsPerConn":4}}})");
+        std::signal(SIGPIPE, SIG_IGN);  // as the program does
         gatewayThread = std::thread([this] {
             markGatewayThread();
             uv_loop_t loop;
--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -239,16 +239,16 @@
     const AnswerSlot second = queue.reserveSlot();
     const AnswerSlot third = queue.reserveSlot();
     CHECK(queue.fillSlot(second, "2"));
-    queue.popReady(out);
+    queue.popReady(out, 1000);
     CHECK(out.empty());
     CHECK(queue.fillSlot(first, "1"));
     CHECK(!queue.fillSlot(first, "again"));
-    queue.popReady(out);
+    queue.popReady(out, 1000);
     CHECK(out == "12");
     CHECK(!queue.fillSlot(second, "again"));
     CHECK(!queue.fillSlot(AnswerSlot{9}, "never reserved"));
     CHECK(queue.fillSlot(third, "3"));
-    queue.popReady(out);
+    queue.popReady(out, 1000);
     CHECK(out == "123");
     CHECK(queue.pendingCount() == 0);
 }
@@ -448,13 +448,12 @@
         CHECK(limits.maxCallingClients + limits.maxNonCallingClients <= limits.maxClientConnections);
         // All the connections that clients may hold open for calls must be accepted.
         if (row.sockets >= 256) CHECK(3 * limits.maxClientConnections > row.sockets);
-        // Four kinds of bytes are buffered: bodies, answers, incomplete commands and incomplete replies. The
-        // buffers of incomplete commands may be up to twice as large as their contents.
-        CHECK(4 * limits.maxBufferedBytesPerKind < memoryBytes / 2);
-        CHECK(limits.maxUnsentBytesPerClient <= limits.maxBufferedBytesPerKind);
+        // Four kinds of bytes are buffered: bodies, incomplete commands, incomplete replies, and answers. At
+        // least a quarter of the memory is left for everything else.
+        CHECK(3 * limits.maxBufferedBytesPerKind + limits.maxAnswerBytes <= memoryBytes * 3 / 4);
         CHECK(limits.maxReplyValueBytes >= resp::kMaxCommandValueBytes);
-        // A client may be sent one value of the maximum length while another waits.
-        CHECK(2 * limits.maxReplyValueBytes <= limits.maxUnsentBytesPerClient);
+        // Each of the clients that want more than they can get may hold two values of the maximum length.
+        CHECK(2 * limits.maxReplyValueBytes <= limits.maxAnswerBytes / 4);
     }
 }
 
--- /dev/null
+++ b/tests/test_gateway_answers.cpp
@@ -0,0 +1,138 @@
+/// \file
+/// Tests of a whole gateway over real sockets whose answers wait: behind an earlier answer, or for their
+/// client.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "worker_stand_in.hpp"
+
+using namespace arrowstile;
+using namespace arrowstile::testing;
+
+namespace {
+
+constexpr std::size_t kLongValueBytes = 60000;
+constexpr const char *kPing = "*1\r\n$4\r\nPING\r\n";
+constexpr const char *kInfo = "*1\r\n$4\r\nINFO\r\n";
+
+std::vector<std::string> requestIds(const std::string &prefix, int count) {
+    std::vector<std::string> ids;
+    for (int index = 0; index < count; ++index) ids.push_back(prefix + std::to_string(1000 + index));
+    return ids;
+}
+
+/// The value of a metric in an answer to INFO.
+std::uint64_t metricOf(const std::string &info, const std::string &name) {
+    const std::size_t position = info.find(name + ":");
+    return position == std::string::npos ? 0 : std::stoull(info.substr(position + name.size() + 1));
+}
+
+/// Sends calls of route "status" one after the other, each when the gateway has the worker's answer to the
+/// one before or has refused it. INFO is asked over `observer`. Where the gateway stops to read, the rest is
+/// sent at once.
+void sendCalls(const Socket &client, const Socket &observer, const std::vector<std::string> &ids) {
+    AnswerReader infos(observer);
+    const auto endedCount = [&] {
+        observer.write(kInfo);
+        const std::string info = infos.next();
+        return metricOf(info, "tries_answered") + metricOf(info, "calls_rate_limited");
+    };
+    std::uint64_t before = endedCount();
+    bool isRead = true;
+    for (const std::string &id : ids) {
+        client.write(apiCall("status", 1000, id.c_str()));
+        if (!isRead) continue;
+        std::uint64_t after = before;
+        for (int remaining = 300; remaining > 0 && after == before; --remaining) {
+            std::this_thread::sleep_for(std::chrono::microseconds(100));
+            after = endedCount();
+        }
+        isRead = after != before;
+        before = after;
+    }
+}
+
+}  // namespace
+
+// Guards against a connection being closed because many answers became ready in one moment: its client had no
+// time to fetch them.
+TEST_CASE("issue 37: long answers that waited for an earlier one all reach their client") {
+    GatewayFixture fixture({.memoryMb = 192, .burst = 1000});
+    const Socket client = fixture.makeReadyAndConnect();
+    const Socket observer = fixture.connectClient();
+    WorkerStandIn worker(fixture.workerListener, kLongValueBytes);
+    const std::vector<std::string> ids = requestIds("a", 200);
+    client.write(apiCall("dispatch", 1000, "a1"));
+    sendCalls(client, observer, ids);
+    std::this_thread::sleep_for(milliseconds(200));
+    worker.release();
+    std::this_thread::sleep_for(milliseconds(200));
+    AnswerReader answers(client);
+    CHECK(answers.next() == "value of a1");
+    for (const std::string &id : ids) {
+        CAPTURE(id);
+        REQUIRE(answers.next() == "value of " + id);
+    }
+}
+
+// Guards against a client being closed, with calls that were taken, for what other clients have not fetched.
+TEST_CASE("issue 37: clients that do not read cost a client that reads no answer") {
+    GatewayFixture fixture({.memoryMb = 32, .burst = 1000});
+    const Socket client = fixture.makeReadyAndConnect();
+    const Socket observer = fixture.connectClient();
+    WorkerStandIn worker(fixture.workerListener, kLongValueBytes);
+    std::vector<Socket> stalledClients;
+    std::string manyCommands;
+    for (int remaining = 12000; remaining > 0; --remaining) manyCommands += kInfo;
+    for (int remaining = 14; remaining > 0; --remaining) {
+        stalledClients.push_back(fixture.connectClient());
+        stalledClients.back().write(manyCommands);
+    }
+    std::vector<std::string> ids = requestIds("b", 75);
+    // Until the gateway has read all that it reads from these clients.
+    std::this_thread::sleep_for(milliseconds(1500));
+    client.write(apiCall("dispatch", 1000, "b1"));
+    sendCalls(client, observer, ids);
+    std::this_thread::sleep_for(milliseconds(200));
+    worker.release();
+    std::this_thread::sleep_for(milliseconds(200));
+    AnswerReader answers(client);
+    std::size_t valueCount = 0;
+    ids.insert(ids.begin(), "b1");
+    for (const std::string &id : ids) {
+        CAPTURE(id);
+        const std::string answer = answers.next();
+        REQUIRE((answer == "value of " + id || answer.starts_with("-")));
+        valueCount += !answer.starts_with("-");
+    }
+    // What the stalled clients leave of the memory for answers has room for half of these at least.
+    CHECK(valueCount >= ids.size() / 2);
+    client.write(kPing);
+    CHECK(answers.next() == "PONG");
+}
+
+// Guards against answers that wait for an earlier one taking more memory than is stated for them.
+TEST_CASE("issue 37: calls whose answers find no memory are answered in their turn, without a close") {
+    constexpr std::size_t memoryBytes = 8 * 1024 * 1024;
+    GatewayFixture fixture({.memoryMb = 8, .burst = 1000});
+    const Socket client = fixture.makeReadyAndConnect();
+    const Socket observer = fixture.connectClient();
+    WorkerStandIn worker(fixture.workerListener, kLongValueBytes);
+    const std::vector<std::string> ids = requestIds("c", 100);
+    client.write(apiCall("dispatch", 1000, "c1"));
+    sendCalls(client, observer, ids);
+    std::this_thread::sleep_for(milliseconds(100));
+    AnswerReader otherAnswers(observer);
+    observer.write(apiCall("status", 1000, "c2"));
+    CHECK(otherAnswers.next() == "value of c2");
+    worker.release();
+    AnswerReader answers(client);
+    CHECK(answers.next() == "value of c1");
+    for (const std::string &id : ids) {
+        CAPTURE(id);
+        const std::string answer = answers.next();
+        REQUIRE((answer == "value of " + id || answer == "-ERR failed" || answer.starts_with("-BUSY")));
+    }
+    observer.write(kInfo);
+    const std::string info = otherAnswers.next();
+    CHECK(metricOf(info, "clients_let_go") == 0);
+    CHECK(metricOf(info, "answer_bytes_peak") <= memoryBytes / 3);
+}
