Commands that wait while reading is paused are told to workers with their real age

Cause: a command was aged from when the sockets were last read, also if its connection was not read from meanwhile, for 512 pending commands or for answers not fetched. Change: after a pause, commands count as sent when it began, until all that had gathered in the system is read.

Where a pause lasts longer than the client timeout, the commands that came during it are refused, though the last of them may have time left.

--- a/src/net/client_connections.cpp
+++ b/src/net/client_connections.cpp
@@ -75,7 +75,7 @@
             owner.handleCommand(*this, command);
             updateReadPause();
         }
-        unreadSince = Timestamp::max();
+        if (!isReadPaused && tcp->hasReadAllInput()) unreadSince = Timestamp::max();
         if (isEnding) {
             tcp->setReadPaused(true);  // Further input is of no use after a protocol error.
             consumedBytes = bytes.size();
@@ -172,16 +172,19 @@
             setReadPaused(!isReadPaused);
     }
 
+    /// Commands that come during a pause may have waited since it began.
     void setReadPaused(bool paused) {
         isReadPaused = paused;
         if (paused) {
             ++owner.context_.metrics.readPauses;
             owner.pausedConnections_.insert(id);
+            unreadSince = std::min(unreadSince, owner.context_.lastReadAt);
             tcp->setReadPaused(true);
             return;
         }
         owner.pausedConnections_.erase(id);
         tcp->setReadPaused(false);
+        if (!isReadPaused && tcp->hasReadAllInput()) unreadSince = Timestamp::max();
     }
 
     ClientConnections &owner;
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -80,6 +80,10 @@
     Socket accept(milliseconds maxWait = milliseconds(3000)) const {
         return Socket(waitReadable(maxWait) ? ::accept(handle_, nullptr, nullptr) : -1);
     }
+    /// Fixes the size of the system's buffer for input, which otherwise grows as input is read.
+    void limitReceiveBuffer(int bytes) const {
+        ::setsockopt(handle_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+    }
     void write(std::string_view text) const { ::send(handle_, text.data(), text.size(), MSG_NOSIGNAL); }
     /// Reads until the text contains `terminator`, the other side closes, or nothing comes for `maxWait`.
     /// Returns all that was read, also after `terminator`, with "<closed>" at its end if the other side has
--- a/tests/test_gateway_answers.cpp
+++ b/tests/test_gateway_answers.cpp
@@ -136,3 +136,24 @@
     CHECK(metricOf(info, "clients_let_go") == 0);
     CHECK(metricOf(info, "answer_bytes_peak") <= memoryBytes / 3);
 }
+
+// Guards against workers being told more time than a client has left that had to wait because reading paused.
+TEST_CASE("issue 37: the time that a command waits while reading is paused counts as waited") {
+    GatewayFixture fixture;
+    const Socket client = fixture.makeReadyAndConnect();
+    WorkerStandIn worker(fixture.workerListener, 2);
+    std::string commands = apiCall("dispatch", 1000);
+    for (int remaining = 511; remaining > 0; --remaining) commands += kPing;
+    client.write(commands);  // as many as one connection may have pending
+    std::this_thread::sleep_for(milliseconds(50));
+    client.write(apiCall("status", 1000, "d1"));
+    std::this_thread::sleep_for(milliseconds(400));
+    worker.release();
+    AnswerReader answers(client);
+    for (int remaining = 512; remaining > 0; --remaining) answers.next();
+    CHECK(answers.next() == "value of d1");
+    const std::vector<std::string> calls = worker.commands();
+    REQUIRE(calls.size() == 2);
+    const int toldMs = std::stoi(calls[1].substr(calls[1].find(",d=") + 3));
+    CHECK(toldMs <= 1000 - 400 + 150);  // the slack of the protocol page
+}
--- a/tests/worker_stand_in.hpp
+++ b/tests/worker_stand_in.hpp
@@ -16,8 +16,8 @@
     return value;
 }
 
-/// Answers every call at once with a value that names the call, except those of route "dispatch": these get
-/// no answer before release().
+/// Answers every call at once with a value that names the call, except those of route "dispatch", and those
+/// with a request id that begins with 'f': these get no answer before release().
 class WorkerStandIn {
 public:
     /// `valueBytes` is the length of the values. The listener must outlive the worker.
@@ -28,7 +28,7 @@
         thread_.join();
     }
 
-    /// From now on calls of route "dispatch" are answered as well.
+    /// From now on all calls are answered.
     void release() { isReleased_ = true; }
     std::size_t commandCount() const {
         const std::lock_guard lock(mutex_);
@@ -74,14 +74,16 @@
         resp::Command command;
         if (resp::parseCommand(connection.input, command) != resp::ParseResult::complete) return true;
         const std::string id(command.arguments[2]);
-        const bool isHeld = connection.input.find("c=dispatch") != std::string::npos && !isReleased_;
+        const bool isHeld = id.starts_with('f') || connection.input.find("c=dispatch") != std::string::npos;
         {
             const std::lock_guard lock(mutex_);
             commands_.push_back(connection.input.substr(0, command.consumedBytes));
         }
         connection.input.erase(0, command.consumedBytes);
-        if (isHeld) connection.heldId = id;
-        if (!isHeld) answer(connection, id);
+        if (isHeld && !isReleased_)
+            connection.heldId = id;
+        else
+            answer(connection, id);
         return true;
     }
 
