A planned stop ends when the last answers were fetched, not after a fixed 60 ms

What callers saw: at the end of a planned stop, answers that were being fetched were dropped with their connections; a process that was held up for 0.14 s at that moment answered the pending calls and closed their connections in the same step, before anything was written.

Cause: the end was a point in time, 610 ms after the longest client timeout, whatever was unsent. Change: the stop ends 60 ms after the last answer was handed to the system. A client that takes nothing for 1 s is not waited for; if the process is killed before, no more is lost than by ending.

--- a/src/net/client_connections.cpp
+++ b/src/net/client_connections.cpp
@@ -33,12 +33,14 @@
 constexpr Duration kStopPollInterval = milliseconds(20);
 
 // The process is killed 0.7 s after the longest client timeout at the earliest, where that timeout counts as
-// 3 s at most, and the planned stop ends before that. Single clients may wait for longer, so calls can still
-// be pending kStopMargin after the timeout. They are answered then, and their clients have kFinalAnswerPeriod
-// to fetch the answers before all connections are closed.
+// 3 s at most, and the planned stop ends before that unless answers are still being fetched. Single clients
+// may wait for longer, so calls can still be pending kStopMargin after the timeout. They are answered then.
 constexpr Duration kMaxClientTimeout = milliseconds(3000);
 constexpr Duration kStopMargin = milliseconds(550);
+/// How long clients have to fetch the last answers once the system has taken them.
 constexpr Duration kFinalAnswerPeriod = milliseconds(60);
+/// How long the stop waits for a client that takes none of the answers that are ready for it.
+constexpr Duration kFinalFetchTimeout = milliseconds(1000);
 
 }  // namespace
 
@@ -433,29 +435,45 @@
     }
 }
 
+/// Closes all connections once every answer was handed to the system and clients had kFinalAnswerPeriod to
+/// fetch the last of them. A client that takes nothing for kFinalFetchTimeout is not waited for.
+void ClientConnections::closeAnsweredConnections(Timestamp now) {
+    const bool isFetching = std::ranges::any_of(connections_, [now](const auto &entry) {
+        Connection &connection = *entry.second;
+        return connection.isOwedAnswers() && connection.timeWithoutProgress(now) <= kFinalFetchTimeout;
+    });
+    if (isFetching) lastOwedAt_ = now;
+    if (now - lastOwedAt_ <= kFinalAnswerPeriod) return;
+    closeListener();
+    connections_.clear();
+}
+
+/// The longest time for which clients wait for an answer, as far as it counts for the planned stop.
+Duration ClientConnections::longestClientTimeout() const {
+    Duration longestTimeout{};
+    for (const Route &route : context_.startDocument.settings.engine.routes)
+        longestTimeout = std::max(longestTimeout, route.clientTimeout);
+    return std::min(longestTimeout, kMaxClientTimeout);
+}
+
 /// Runs every kStopPollInterval in a planned stop, until all connections are closed. A client that keeps its
 /// side open after the gateway has closed its own is not waited for beyond kCloseGracePeriod.
 void ClientConnections::continuePlannedStop() {
     const Timestamp now = context_.clock.now();
+    const Duration stoppingFor = now - stopStartedAt_;
     isClosingIdle_ = true;
-    if (now - lastAcceptedAt_ > kNoNewClientPeriod || now - stopStartedAt_ > kMaxAcceptPeriod)
-        closeListener();
-    Duration longestTimeout{};
-    for (const Route &route : context_.startDocument.settings.engine.routes)
-        longestTimeout = std::max(longestTimeout, route.clientTimeout);
-    longestTimeout = std::min(longestTimeout, kMaxClientTimeout);
+    if (now - lastAcceptedAt_ > kNoNewClientPeriod || stoppingFor > kMaxAcceptPeriod) closeListener();
     std::erase_if(connections_, [&](const auto &entry) {
         Connection &connection = *entry.second;
-        if (connection.isWriteShutdown)
-            return connection.answerQueue.pendingCount() == 0 &&
-                   now - connection.lastActiveAt > kCloseGracePeriod;
+        if (connection.isWriteShutdown) return now - connection.lastActiveAt > kCloseGracePeriod;
         if (connection.isIdle()) connection.shutdownWrite(now);
         return false;
     });
-    if (now - stopStartedAt_ > longestTimeout + kStopMargin) answerRemainingCalls();
-    if (now - stopStartedAt_ > longestTimeout + kStopMargin + kFinalAnswerPeriod) {
-        closeListener();
-        connections_.clear();
+    const Duration answerAfter = longestClientTimeout() + kStopMargin;
+    if (stoppingFor > answerAfter) {
+        lastOwedAt_ = std::max(lastOwedAt_, stopStartedAt_ + answerAfter);
+        answerRemainingCalls();
+        closeAnsweredConnections(now);
     }
     if (!isStopped()) context_.timers.schedule(now + kStopPollInterval, [this] { continuePlannedStop(); });
 }
--- a/src/net/client_connections.hpp
+++ b/src/net/client_connections.hpp
@@ -60,6 +60,8 @@
     void closeConnection(ClientId id);
     void continuePlannedStop();
     void answerRemainingCalls();
+    void closeAnsweredConnections(Timestamp now);
+    Duration longestClientTimeout() const;
 
     ServerContext &context_;
     PendingCallTable &pendingCalls_;
@@ -76,6 +78,7 @@
     bool isStopping_ = false;     ///< a planned stop has begun
     bool isClosingIdle_ = false;  ///< the planned stop closes connections when they are idle
     Timestamp stopStartedAt_{};
+    Timestamp lastOwedAt_{};  ///< at the end of a planned stop: when answers were last waited for
     Timestamp lastAcceptedAt_{};
 };
 
--- a/tests/test_gateway_answers.cpp
+++ b/tests/test_gateway_answers.cpp
@@ -2,6 +2,8 @@
 /// Tests of a whole gateway over real sockets whose answers wait: behind an earlier answer, or for their
 /// client.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <pthread.h>
+
 #include "worker_stand_in.hpp"
 
 using namespace arrowstile;
@@ -239,3 +241,55 @@
     slowClient.write(kInfo);
     CHECK(metricOf(slowAnswers.next(), "clients_stalled") == 1);
 }
+
+// Guards against a planned stop that drops the answers that clients are fetching when its time is over.
+TEST_CASE("issue 37: a planned stop does not end while a client fetches its answers") {
+    GatewayFixture fixture({.memoryMb = 192, .burst = 1000});
+    const Socket client = fixture.makeReadyAndConnect();
+    const Socket observer = fixture.connectClient();
+    WorkerStandIn worker(fixture.workerListener, kLongValueBytes);
+    const std::vector<std::string> ids = requestIds("a", 100);
+    AnswerReader answers(client);
+    const std::vector<std::string> firstIds = requestIds("b", 50);
+    sendCalls(client, observer, firstIds);  // after these the gateway knows that the worker is fast
+    for (const std::string &id : firstIds) CHECK(answers.next() == "value of " + id);
+    fixture.beginStop();
+    const auto stopBegunAt = std::chrono::steady_clock::now();
+    std::this_thread::sleep_until(stopBegunAt + milliseconds(450));
+    // These calls keep the connection open until all pending calls are answered, 1.55 s after the signal.
+    client.write(apiCall("dispatch", 1000, "c1"));
+    std::this_thread::sleep_until(stopBegunAt + milliseconds(900));
+    client.write(apiCall("dispatch", 1000, "c2"));
+    for (const std::string &id : ids) {
+        client.write(apiCall("status", 1000, id.c_str()));
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    for (int remaining = 2; remaining > 0; --remaining) CHECK(answers.next().starts_with("-"));
+    for (const std::string &id : ids) {
+        CAPTURE(id);
+        const std::string answer = answers.next();
+        REQUIRE((answer == "value of " + id || answer.starts_with("-")));
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    CHECK(answers.next() == "<closed>");
+}
+
+// Guards against a process that is held up until the end of its planned stop and then ends before it has
+// written the last answers.
+TEST_CASE("issue 37: a planned stop that is held up for 0.15 s answers the pending calls before it ends") {
+    for (const int heldUpAtMs : {1410, 1450, 1500, 1540}) {
+        CAPTURE(heldUpAtMs);
+        GatewayFixture fixture;
+        const Socket client = fixture.makeReadyAndConnect();
+        WorkerStandIn worker(fixture.workerListener, 2);
+        client.write(apiCall("status", 60000, "f1"));
+        std::signal(SIGUSR2, [](int) { ::usleep(150000); });
+        const auto stopBegunAt = std::chrono::steady_clock::now();
+        fixture.beginStop();
+        std::this_thread::sleep_until(stopBegunAt + milliseconds(heldUpAtMs));
+        ::pthread_kill(fixture.gatewayThread.native_handle(), SIGUSR2);
+        AnswerReader answers(client);
+        CHECK(answers.next() == "-ERR failed");
+        CHECK(answers.next() == "<closed>");
+    }
+}
