--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for development. README.md lists what they need.
 JOBS ?= 4
 
-.PHONY: build lab test soak lint run clean
+.PHONY: build lab test memory soak lint run clean
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
@@ -17,6 +17,13 @@
 	cmake --build build-test -j$(JOBS)
 	ctest --test-dir build-test --output-on-failure
 
+# Plays long answers behind a silent worker at three memory limits, which bound the process. Needs a build without
+# sanitizers.
+memory: build
+	for limit in 32 64 192; do \
+		python3 tests/rehearsal/long_answers.py build/arrowstile --memory-mb $$limit || exit 1; \
+	done
+
 # Plays days drawn from seeds 1 to 50 against the program, about a quarter of an hour.
 soak: build
 	python3 tests/rehearsal/soak.py build/arrowstile --seed 1 --days 50
--- /dev/null
+++ b/tests/rehearsal/long_answers.py
@@ -0,0 +1,253 @@
+#!/usr/bin/env python3
+"""Plays one real gateway whose clients pipeline calls with long answers while a worker is silent, on loopback.
+
+Two clients send 62 calls a second each; one worker of ten falls silent after a few seconds, so the answers behind a
+call there wait for as long as the client timeout. Both clients read all the time. The program prints how the calls
+ended and the peak of the process's resident memory, and ends with exit code 1 if a call got no answer, if a value was
+another call's, or if the process took more memory than its start document states. With --short it measures short
+answers instead: calls a second in a closed loop, and the time from a worker's answer to the client.
+"""
+
+import argparse
+import asyncio
+import collections
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import time
+
+from loopback import bulk, free_port
+
+HOST = "127.0.0.1"
+WORKERS = 10
+CLIENTS = 2
+CALL_EVERY_S = 0.016
+CLIENT_TIMEOUT_MS = 4000
+ANSWER_SLACK_S = 0.6
+PIPELINED_SHORT_CALLS = 8
+
+
+async def read_command(reader):
+    """Reads a RESP2 command; None at the end of the connection."""
+    try:
+        count = int((await reader.readline())[1:] or 0)
+        words = []
+        for _ in range(count):
+            size = int((await reader.readline())[1:])
+            words.append((await reader.readexactly(size + 2))[:-2])
+        return words or None
+    except (ConnectionError, asyncio.IncompleteReadError, ValueError):
+        return None
+
+
+class Rehearsal:
+    def __init__(self, options):
+        self.options = options
+        self.ports = []
+        self.silent_ports = set()
+        self.served = collections.Counter()  # calls by the worker's port
+        self.writers = set()
+        self.answered_at = {}
+        self.sent = 0
+        self.outcomes = {"value": 0, "busy": 0, "failed": 0}
+        self.faults = []
+        self.latencies = []
+
+    async def serve_worker(self, reader, writer):
+        port = writer.get_extra_info("sockname")[1]
+        self.writers.add(writer)  # keeps the connection open when its reader has ended
+        while words := await read_command(reader):
+            if port in self.silent_ports:
+                await asyncio.Event().wait()
+            if not self.options.short:
+                await asyncio.sleep(0.04)
+            call = words[2]
+            self.served[port] += 1
+            value = (b"value of " + call + b" ").ljust(self.options.value_bytes, b".")
+            self.answered_at[call] = time.monotonic()
+            writer.write(b"*3\r\n" + bulk(value) + b"$-1\r\n$-1\r\n")
+        writer.close()
+
+    async def serve_discovery(self, reader, writer):
+        """Discovery's agent, which knows of no changes."""
+        await self.serve_http(reader, writer, lambda target: json.dumps(self.worker_list(b"since=" not in target)))
+
+    async def serve_counter(self, reader, writer):
+        """A counter that always gives the same total."""
+        await self.serve_http(reader, writer, lambda _: "1")
+
+    async def serve_http(self, reader, writer, answer):
+        try:
+            while request := await reader.readline():
+                while (await reader.readline()).strip():
+                    pass
+                if b"timeout_ms=" in request:
+                    await asyncio.sleep(min(60, int(request.split(b"timeout_ms=")[1].split(b" ")[0]) / 1000))
+                body = answer(request)
+                writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+        except ConnectionError:
+            pass
+        writer.close()
+
+    def fall_silent(self):
+        """Silences the worker that has served the most calls."""
+        self.silent_ports.add(max(self.ports, key=lambda port: self.served[port]))
+
+    def worker_list(self, is_snapshot):
+        endpoints = [{"name": f"s-{port:08x}", "address": f"{HOST}:{port}", "zone": "", "type": "", "group": 0,
+                      "status": "Ready", "weight": 1.0, "since_ms": 0} for port in self.ports]
+        # Names without anything behind them, as a large fleet has them in its list.
+        endpoints += [{"name": f"s-{index:08x}", "address": f"{HOST}:1", "zone": "", "type": "", "group": 0,
+                       "status": "Terminating", "weight": 1.0, "since_ms": 0}
+                      for index in range(self.options.listed_workers - len(self.ports))]
+        return {"index": 1, "snapshot": is_snapshot, "endpoints": endpoints if is_snapshot else []}
+
+    def start_document(self, port, discovery_port, counter_port):
+        return {
+            "name": "rehearsed", "listen": f"{HOST}:{port}", "discovery": f"{HOST}:{discovery_port}",
+            "counter": f"{HOST}:{counter_port}", "known": self.worker_list(is_snapshot=True),
+            "limits": {"memory_mb": self.options.memory_mb, "sockets": 512},
+            "settings": {
+                "balancers": 1, "rules": {"rampTimeMs": 1000, "drainGraceMs": 250}, "registryMode": "pushed",
+                "classes": [{"name": "status", "effect": "safe", "onTimeMs": 1000, "deadlineMs": CLIENT_TIMEOUT_MS}],
+                "packages": [{"name": "basic", "refill": 1e6, "storeSize": 1e6}],
+                "familyInfo": {"mayCount": True, "countLimitMs": 50},
+                "permissions": {"cancel": True, "retryAfter": True, "sendCap": 3, "maxRetryAfterMs": 500,
+                                "connectTimeoutMs": 250, "keepaliveMs": 10000, "streamsPerConn": 4}}}
+
+    async def start(self, directory):
+        servers = []
+        handlers = [self.serve_discovery, self.serve_counter] + [self.serve_worker] * WORKERS
+        for handler in handlers:
+            servers.append(await asyncio.start_server(handler, HOST, 0, backlog=512, limit=1 << 20))
+        ports = [server.sockets[0].getsockname()[1] for server in servers]
+        self.servers, self.ports, self.gateway_port = servers, ports[2:], free_port()
+        path = os.path.join(directory, "start.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(self.start_document(self.gateway_port, ports[0], ports[1]), file)
+        self.log = open(os.path.join(directory, "log"), "w", encoding="utf-8")
+        self.process = subprocess.Popen([self.options.gateway], env={"EDGE_CONFIG": path}, stdout=self.log)
+        deadline = time.monotonic() + 10
+        while time.monotonic() < deadline:
+            try:
+                reader, writer = await asyncio.open_connection(HOST, self.gateway_port)
+                writer.write(b"*1\r\n$4\r\nPING\r\n")
+                answer = await reader.readline()
+                writer.close()
+                if answer.startswith(b"+PONG"):
+                    return
+            except OSError:
+                pass
+            await asyncio.sleep(0.05)
+        sys.exit("the gateway was not ready in time")
+
+    def command(self):
+        self.sent += 1
+        call = b"%016x" % self.sent
+        fields = b"c=status,t=basic,d=%d,units=1,spread=1,first=0" % CLIENT_TIMEOUT_MS
+        words = [b"Q.ASK", b"00000000b4d65521", call, fields]
+        return call, b"*4\r\n" + b"".join(bulk(word) for word in words)
+
+    async def read_answer(self, reader, call):
+        """Reads the answer to a call and records its outcome. Returns False if the connection has ended."""
+        line = await reader.readline()
+        if not line:
+            return False
+        if line.startswith(b"$"):
+            value = (await reader.readexactly(int(line[1:]) + 2))[:-2]
+            self.outcomes["value"] += 1
+            self.latencies.append(time.monotonic() - self.answered_at.get(call, 0))
+            if not value.startswith(b"value of " + call):
+                self.faults.append(f"call {call.decode()} got another value")
+        else:
+            self.outcomes["busy" if line.startswith(b"-BUSY") else "failed"] += 1
+        return True
+
+    async def pipelining_client(self):
+        reader, writer = await asyncio.open_connection(HOST, self.gateway_port, limit=1 << 20)
+        waiting = []
+
+        async def read_answers():
+            while await self.read_answer(reader, waiting[0] if waiting else b""):
+                waiting.pop(0)
+
+        reading = asyncio.ensure_future(read_answers())
+        end = time.monotonic() + self.options.seconds
+        while time.monotonic() < end and not reading.done():
+            call, command = self.command()
+            waiting.append(call)
+            writer.write(command)
+            await asyncio.sleep(CALL_EVERY_S)
+        await asyncio.sleep(CLIENT_TIMEOUT_MS / 1000 + ANSWER_SLACK_S)
+        reading.cancel()
+        self.faults.extend(f"call {call.decode()} got no answer" for call in waiting)
+
+    async def closed_loop_client(self):
+        reader, writer = await asyncio.open_connection(HOST, self.gateway_port, limit=1 << 20)
+        end = time.monotonic() + self.options.seconds
+        while time.monotonic() < end:
+            calls = [self.command() for _ in range(PIPELINED_SHORT_CALLS)]
+            writer.write(b"".join(command for _, command in calls))
+            for call, _ in calls:
+                if not await self.read_answer(reader, call):
+                    self.faults.append("a connection was closed")
+                    return
+
+    def memory_kib(self):
+        with open(f"/proc/{self.process.pid}/status", encoding="ascii") as file:
+            return int(next(line for line in file if line.startswith("VmHWM:")).split()[1])
+
+    async def play(self, directory):
+        await self.start(directory)
+        idle_kib = self.memory_kib()
+        if not self.options.short:
+            asyncio.get_running_loop().call_later(2, self.fall_silent)
+        client = self.closed_loop_client if self.options.short else self.pipelining_client
+        await asyncio.gather(*(client() for _ in range(CLIENTS)))
+        peak_kib = self.memory_kib()
+        with open(f"/proc/{self.process.pid}/stat", encoding="ascii") as file:
+            processor_s = sum(int(ticks) for ticks in file.read().split()[13:15]) / os.sysconf("SC_CLK_TCK")
+        self.process.terminate()
+        self.process.wait()
+        if peak_kib > self.options.memory_mb * 1024:
+            self.faults.append(f"{peak_kib} KiB resident, {self.options.memory_mb} MiB allowed")
+        latencies = sorted(self.latencies) or [0]
+        print(f"memory_mb {self.options.memory_mb}: {self.sent} calls, {self.outcomes}, "
+              f"peak {peak_kib} KiB ({idle_kib} KiB when ready), processor {processor_s:.2f} s, "
+              f"{self.outcomes['value'] / self.options.seconds:.0f} values a second, worker's answer to client: "
+              f"median {1000 * latencies[len(latencies) // 2]:.2f} ms, "
+              f"p99 {1000 * latencies[len(latencies) * 99 // 100]:.2f} ms")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("gateway", help="the program")
+    parser.add_argument("--memory-mb", type=int, default=32)
+    parser.add_argument("--value-bytes", type=int, default=60000)
+    parser.add_argument("--listed-workers", type=int, default=WORKERS)
+    parser.add_argument("--seconds", type=float, default=12)
+    parser.add_argument("--short", action="store_true", help="measure short answers")
+    options = parser.parse_args()
+    if options.short:
+        options.value_bytes = 16
+    rehearsal = Rehearsal(options)
+    with tempfile.TemporaryDirectory() as directory:
+        try:
+            loop = asyncio.new_event_loop()
+            loop.set_exception_handler(lambda *_: None)  # servers that are cut off at the end
+            loop.run_until_complete(rehearsal.play(directory))
+        finally:
+            if getattr(rehearsal, "process", None) and rehearsal.process.poll() is None:
+                rehearsal.process.kill()
+    for fault in rehearsal.faults[:10]:
+        print(fault)
+    if rehearsal.faults:
+        print(f"{len(rehearsal.faults)} faults")
+    sys.stdout.flush()
+    sys.exit(1 if rehearsal.faults else 0)
+
+
+if __name__ == "__main__":
+    main()
