Clients that fetch nothing and send no call are closed for others again

Change: answers that wait for their client alone do not keep such a connection, and whether it was read once is noted apart from the age of its input. The new case failed on the commit before and passes now and on.

--- a/src/net/client_connections.cpp
+++ b/src/net/client_connections.cpp
@@ -59,6 +59,7 @@
     }
 
     std::size_t onData(std::string_view bytes) override {
+        hasBeenRead = true;
         std::size_t consumedBytes = 0;
         resp::Command command;
         while (consumedBytes < bytes.size() && !isReadPaused && !isEnding) {
@@ -112,6 +113,10 @@
     /// Whether the client has answers to come, or to fetch.
     bool isOwedAnswers() const { return answerQueue.pendingCount() > 0 || tcp->unsentBytes() > 0; }
 
+    /// Whether an answer to come is still missing, or was not handed over for another reason than that the
+    /// client has not fetched what is before it.
+    bool isAwaitingAnswer() const { return answerQueue.pendingCount() > 0 && tcp->unsentBytes() == 0; }
+
     /// For how long the system has taken nothing of the answers that are ready. Called periodically.
     Duration timeWithoutProgress(Timestamp now) {
         const std::uint64_t sentBytes = tcp->sentBytes();
@@ -212,6 +217,7 @@
     std::uint64_t lastSentBytes = 0;  ///< of the output, as of lastProgressAt
     AnswerUsage countedUsage;         ///< as last passed to the memory that all connections share
     std::size_t incompleteCommandBytes = 0;
+    bool hasBeenRead = false;     ///< something has been received
     bool hasSentCommand = false;  ///< a valid one
     bool isNonCalling = true;     ///< has not sent an API call
     bool isReadPaused = false;
@@ -251,10 +257,10 @@
         const Connection &connection = *candidate->second;
         const bool onlyNonCalling = scope == EvictionScope::nonCalling;
         if (scope != EvictionScope::all && connection.isNonCalling != onlyNonCalling) continue;
-        if (onlyNonCalling ? connection.answerQueue.pendingCount() > 0 : !connection.isIdle()) continue;
+        if (onlyNonCalling ? connection.isAwaitingAnswer() : !connection.isIdle()) continue;
         const bool isLongerIdle =
             longestIdle == connections_.end() || connection.lastActiveAt < longestIdle->second->lastActiveAt;
-        const bool isKeptIfUnread = !onlyNonCalling || connection.unreadSince != Timestamp::max();
+        const bool isKeptIfUnread = !onlyNonCalling || !connection.hasBeenRead;
         if (isLongerIdle && !(isKeptIfUnread && connection.tcp->hasUnreadInput())) longestIdle = candidate;
     }
     if (longestIdle == connections_.end()) return false;
--- a/tests/test_gateway_answers.cpp
+++ b/tests/test_gateway_answers.cpp
@@ -216,6 +216,24 @@
     }
 }
 
+// Guards against clients that ask for much and read nothing keeping others out: they may be closed for others
+// as long as they have sent no call. With 96 sockets 13 connections may belong to such clients.
+TEST_CASE("issue 37: clients that fetch nothing and send no call take no connection from others") {
+    GatewayFixture fixture({.maxSockets = 96});
+    fixture.makeReadyAndConnect();
+    std::string commands;
+    for (int remaining = 10000; remaining > 0; --remaining) commands += kInfo;
+    std::vector<Socket> stalledClients;
+    for (int remaining = 20; remaining > 0; --remaining) {
+        stalledClients.push_back(fixture.connectClient());
+        stalledClients.back().write(commands);
+    }
+    std::this_thread::sleep_for(milliseconds(1500));
+    const Socket client = fixture.connectClient();
+    client.write(kPing);
+    CHECK(client.read() == "+PONG\r\n");
+}
+
 // Guards against a client that never reads holding memory and a descriptor for good, and against its end
 // taking the answers of another.
 TEST_CASE("issue 37: a client that takes no answer for 20 s is closed, one that reads slowly is not") {
