--- a/review/parts2.py
+++ b/review/parts2.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-MAX_SECONDS = 110
+MAX_SECONDS = float(os.environ.get("REVIEW_SECONDS", "110"))
 
 
 class CannotRun(Exception):
@@ -153,14 +153,14 @@
             await self.read_some()
         return await self.take(end + 2)
 
-    def send(self, route, *, plan="open", customer=1, ident=None, deadline_ms=4000, units=1, key=None):
+    def send(self, route, *, plan="open", customer=1, ident=None, deadline_ms=4000, units=1, key=None, spread=1):
         """Writes a request; read_answers() takes its answer."""
         ident = ident or f"{random.getrandbits(64):016x}"
         words = [b"Q.ASK" if route == "status" else b"Q.DO", f"{customer:016x}", ident]
         fields = f"c={route},t={plan},d={deadline_ms}"
         if route == "submit":
             fields += f",k={key or ident}"
-        words.append(fields + f",units={units},spread=1,first=0")
+        words.append(fields + f",units={units},spread={spread},first=0")
         if route != "status":
             words.append("body of " + ident)
         call = Call(ident, route, self.run.now(), deadline_ms)
