--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,13 +12,18 @@
 # One way, in the gateway's zone and to the other; the site file's net.same_ms is 0.096 to 0.31, net.cross_ms 1.4 to 2.6.
 ZONES = {"north": 0.2, "south": 2.0}
 SPOILT_SHARE = 0.05
+FULL_SHARE = 0.05  # of the requests find the worker's queue full
 LATE_MS = (1.0, 8.0)
 
 
 async def case(run):
     chance = random.Random(6)
+    runs = {}
 
     async def serve(attempt, line):
+        if chance.random() < FULL_SHARE:
+            return b"-BUSY queue=20\r\n"
+        runs[attempt.ident] = runs.get(attempt.ident, 0) + 1
         await asyncio.sleep(chance.uniform(0.03, 0.08))
         answer = served(f"{attempt.ident} by {attempt.worker.name}")
         # Only where nothing else waits on the connection, as the page says: neither now nor when it is sent.
@@ -51,8 +56,10 @@
     for call in calls:
         kinds[call.answer and call.answer[0]] = kinds.get(call.answer and call.answer[0], 0) + 1
     run.log(f"{len(calls)} requests: {kinds}")
-    return [f"{call.route} {call.ident} was answered with the value of another request: {call.answer[1]}"
-            for call in calls if call.answer and call.answer[0] == "served" and not call.answer[1].startswith(call.ident)]
+    breaks = [f"{call.route} {call.ident} was answered with the value of another request: {call.answer[1]}"
+              for call in calls if call.answer and call.answer[0] == "served" and not call.answer[1].startswith(call.ident)]
+    return breaks + [f"dispatch {call.ident} ran {runs[call.ident]} times" for call in calls
+                     if call.route == "dispatch" and runs.get(call.ident, 0) > 1]
 
 
 run_case(Path(__file__).parent, case)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -8,8 +8,8 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from parts2 import Client, Counter, Discovery, Gateway, Worker, run_case, served
 
-MEMORY_MB, SOCKETS = 32, 1024
-CONNECTIONS = 250        # clients hold at most a third of the descriptors
+MEMORY_MB, SOCKETS = 32, 512
+CONNECTIONS = 126        # clients hold at most a third of the descriptors
 CALLS_PER_SECOND = 130
 LONG_BYTES = 64 * 1024   # a value holds at most 64 KiB
 LONG_SHARE = 0.1
