--- a/review/6/case.py
+++ b/review/6/case.py
@@ -56,10 +56,11 @@
     for call in calls:
         kinds[call.answer and call.answer[0]] = kinds.get(call.answer and call.answer[0], 0) + 1
     run.log(f"{len(calls)} requests: {kinds}")
-    breaks = [f"{call.route} {call.ident} was answered with the value of another request: {call.answer[1]}"
-              for call in calls if call.answer and call.answer[0] == "served" and not call.answer[1].startswith(call.ident)]
-    return breaks + [f"dispatch {call.ident} ran {runs[call.ident]} times" for call in calls
-                     if call.route == "dispatch" and runs.get(call.ident, 0) > 1]
+    breaks = [f"dispatch {call.ident} ran {runs[call.ident]} times" for call in calls
+              if call.route == "dispatch" and runs.get(call.ident, 0) > 1]
+    return breaks + [f"{call.route} {call.ident} was answered with the value of another request: {call.answer[1]}"
+                     for call in calls
+                     if call.answer and call.answer[0] == "served" and not call.answer[1].startswith(call.ident)]
 
 
 run_case(Path(__file__).parent, case)
