--- a/review/parts2.py
+++ b/review/parts2.py
@@ -197,11 +197,6 @@
         while await self.read_answer():
             pass
 
-    async def ask(self, route, **options):
-        call = self.send(route, **options)
-        await self.read_answer()
-        return call
-
     def close(self):
         self.closed_at = self.run.now()
         self.run.log(f"{self.name} closes its connection")
@@ -226,10 +221,9 @@
 class Worker:
     """A worker. `serve(attempt, line)` is a coroutine that returns the answer's bytes, or None for none."""
 
-    def __init__(self, run, name, serve, link_ms=0.0, zone="north"):
-        self.run, self.name, self.serve, self.link, self.zone = run, name, serve, link_ms / 1000, zone
+    def __init__(self, run, name, serve, zone="north"):
+        self.run, self.name, self.serve, self.zone = run, name, serve, zone
         self.attempts = []
-        self.writers = set()
 
     async def start(self):
         self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0, limit=1 << 20)
@@ -238,25 +232,19 @@
 
     async def accept(self, reader, writer):
         line = Line(self, reader, writer)
-        self.writers.add(writer)
         try:
             await line.work()
         except asyncio.CancelledError:
             pass  # the play is over
         finally:
-            self.writers.discard(writer)
             writer.close()
 
 
 class Line:
-    """A connection to a worker. Commands begin when they have come, and are answered in their order. What is sent
-    either way takes the time of the link."""
+    """A connection to a worker. Commands begin when they have come, and are answered in their order."""
 
     def __init__(self, worker, reader, writer):
         self.worker, self.reader, self.writer = worker, reader, writer
-        self.begun = 0     # commands that have come to the worker
-        self.answers = 0   # answers that were written
-        self.is_over = False
 
     async def work(self):
         last = None
@@ -265,30 +253,20 @@
                 self.send(b"+PONG\r\n" if words[0] == b"PING" else b"-ERR unknown command\r\n")
                 continue
             last = asyncio.create_task(self.begin(words, last))
-        self.is_over = True
         if last:
             await last
 
     async def begin(self, words, previous):
-        if self.worker.link:
-            await asyncio.sleep(self.worker.link)
         attempt = Attempt(self.worker, words, self.worker.run.now())
-        self.begun += 1
         self.worker.attempts.append(attempt)
         self.worker.run.log(f"{self.worker.name} begins {attempt.route} {attempt.ident}, d={attempt.left_ms:.0f}")
         answer = await self.worker.serve(attempt, self)
         if previous:
             await previous
         if answer is not None:
-            self.answers += 1
             self.send(answer)
 
     def send(self, data):
-        """Sends after the time of the link, in order."""
-        loop = asyncio.get_running_loop()
-        loop.call_later(self.worker.link, self.write_now, data) if self.worker.link else self.write_now(data)
-
-    def write_now(self, data):
         if not self.writer.is_closing():
             self.writer.write(data)
 
