One request at a time on a connection to a worker: no call gets another's reply

At the limit on connections tries shared one, and each reply went to the oldest try on it. Replies name no request, and a worker may drop a request without a word; the reply to the request behind it was then taken for its own.

A connection now carries one request. The engine knows how many tries may be in flight; at that number calls wait in order until one ends, as many as may be in flight and for half of their time at most. At the limit an idle connection to another worker is closed for a new one.

--- a/include/arrowstile/engine_settings.hpp
+++ b/include/arrowstile/engine_settings.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <arrowstile/ids.hpp>
+#include <limits>
 #include <vector>
 
 namespace arrowstile {
@@ -93,8 +94,10 @@
     bool mayDuplicate = false;         ///< setting `mayDuplicate`; not used by the current engine
     bool maySendRetryAfter = false;    ///< rate-limited answers may carry a retry-after time
     unsigned maxTries = 1;             ///< upstream tries per call, the first included
-    Duration maxRetryAfter{};          ///< longest retry-after time in a rate-limited answer
-    Duration connectTimeout{};         ///< for connecting to a worker, and for a probe
+    /// Upstream tries of this gateway at once, which its connections bound. Not in the settings object.
+    std::size_t maxTriesInFlight = std::numeric_limits<std::size_t>::max();
+    Duration maxRetryAfter{};   ///< longest retry-after time in a rate-limited answer
+    Duration connectTimeout{};  ///< for connecting to a worker, and for a probe
 
     DiscoveryMode discoveryMode{};
     LoadReportMode loadReportMode{};
--- a/src/decision_engine.cpp
+++ b/src/decision_engine.cpp
@@ -12,7 +12,8 @@
 /// - Requests to the counter, which are paced by its latency and failures: tryTakeRequestTokens(),
 ///   adjustRequestRate(), isCounterTrusted(), rereadTotals().
 /// - Hard bounds: ceilings in ceilingAdmits(), caps on open tries in openCapAdmits() and decideHeldCalls().
-/// - Calls wait while the list of workers is in doubt: resumeCall(), expireCallsAwaitingList().
+/// - Calls wait while the list of workers is in doubt or all tries are taken: sendWaitingCalls(),
+///   awaitFreeTry(), expireWaitingCalls().
 /// - Retry queue: serveRetryQueue(), mayRetry().
 /// - Load balancing with a concurrency limit for each worker: pickWorker(), rebuildWorkerOrder(),
 ///   rankWorkers(), adjustConcurrencyLimit().
@@ -311,18 +312,19 @@
     std::map<CustomerId, Customer> customers;
     /// Requests to the counter in flight, with the customer, kind and window of the count.
     std::map<CountName, std::tuple<CustomerId, CountKind, std::int64_t>> counterRequests;
-    std::deque<CallId> callsAwaitingList;  ///< calls without a try that wait until the list is usable again
-    std::deque<CallId> retryQueue;         ///< calls whose last try has ended without an answer to the client
-    std::deque<CustomerId> reportQueue;    ///< customers with a count to report, or with held calls
-    RecentSamples<64> recentValuesPerMs;   ///< valuePerMs() of admitted calls
-    RecentSamples<16> recentLatenciesMs;   ///< of answered tries on any route
-    RecentSamples<32> recentSendGapsMs;    ///< between consecutive tries
-    double requestsPerSecond = 0;          ///< rate of requests to the counter that is allowed at present
-    double requestTokens = 0;              ///< level of the token bucket for requests to the counter
-    double usualLatencyMs = 0;             ///< mean of the recent latencies, when last ranked
-    double usualServiceTimeMs = 0;         ///< mean over all routes, when last ranked
-    Timestamp now{};                       ///< time of the event that is being handled
-    Timestamp startedAt{};                 ///< time of the first event
+    /// Calls without a try that wait for a usable list of workers, or for another try to end.
+    std::deque<CallId> waitingCalls;
+    std::deque<CallId> retryQueue;        ///< calls whose last try has ended without an answer to the client
+    std::deque<CustomerId> reportQueue;   ///< customers with a count to report, or with held calls
+    RecentSamples<64> recentValuesPerMs;  ///< valuePerMs() of admitted calls
+    RecentSamples<16> recentLatenciesMs;  ///< of answered tries on any route
+    RecentSamples<32> recentSendGapsMs;   ///< between consecutive tries
+    double requestsPerSecond = 0;         ///< rate of requests to the counter that is allowed at present
+    double requestTokens = 0;             ///< level of the token bucket for requests to the counter
+    double usualLatencyMs = 0;            ///< mean of the recent latencies, when last ranked
+    double usualServiceTimeMs = 0;        ///< mean over all routes, when last ranked
+    Timestamp now{};                      ///< time of the event that is being handled
+    Timestamp startedAt{};                ///< time of the first event
     Timestamp requestTokensUpdatedAt{};
     Timestamp requestRateReducedAt{};
     Timestamp counterAnsweredAt{};  ///< when the counter last replied, be it with an error
@@ -333,6 +335,7 @@
     bool isTicking = false;           ///< the periodic timer was started
     bool isCounterFailing = false;    ///< the last request to the counter failed
     bool isListUsable = true;         ///< calls may be sent by the present list of workers
+    std::size_t triesInFlight = 0;    ///< at all workers
     bool isRankingStale = true;       ///< rankWorkers() must run before the next choice of a worker
     std::size_t warmWorkerCount = 0;  ///< ready workers that are not cold
     CustomerId lastCheckedCustomer;   ///< position of evictIdleCustomers()
@@ -809,7 +812,7 @@
         if (received.route.value >= routes.size()) return actions.push_back(AnswerErrored{received.call});
         if (!isListUsable) {
             calls[received.call] = {received, now, now + received.timeRemaining};
-            callsAwaitingList.push_back(received.call);
+            waitingCalls.push_back(received.call);
             return;
         }
         admit(received, now);
@@ -849,7 +852,8 @@
     /// worker can take it, or if the ceiling has no room any more after the call was held.
     void sendFirstTry(CallId id, Call &call, Customer &customer) {
         call.isAdmitted = true;
-        if (!isListUsable) return callsAwaitingList.push_back(id);
+        if (!isListUsable) return waitingCalls.push_back(id);
+        if (!hasFreeTry()) return awaitFreeTry(id, call);
         recentValuesPerMs.add(valuePerMs(call));
         const auto worker = ceilingAdmits(customer, call.units) ? pickWorker(call) : std::nullopt;
         if (!worker) {
@@ -869,6 +873,7 @@
 
     void sendTry(CallId id, Call &call, WorkerId workerId) {
         Worker &worker = workers.at(workerId);
+        ++triesInFlight;
         ++worker.triesInFlight;
         ++call.triesSent;
         recentSendGapsMs.add(toMs(now - std::exchange(lastTrySentAt, now)));
@@ -881,14 +886,20 @@
         if (!std::exchange(call.isHeld, false)) countOpenTry(call, 1);
     }
 
-    /// Records the outcome of a try. If the call still has no final answer, it joins the retry queue, which
-    /// is served at once.
+    /// Records the outcome of a try. If the call still has no final answer, it joins the retry queue. The try
+    /// that is free now goes to a retry or to a waiting call at once.
     void on(const TryEnded &ended) {
+        triesInFlight -= std::min<std::size_t>(triesInFlight, 1);
         const auto worker = workers.find(ended.worker);
         if (worker != workers.end()) recordOutcome(worker->second, ended);
         const auto found = calls.find(ended.call);
-        if (found == calls.end() || !found->second.hasTryInFlight) return;
-        Call &call = found->second;
+        if (found != calls.end() && found->second.hasTryInFlight) endTry(ended, found->second, worker);
+        serveRetryQueue();
+        sendWaitingCalls();
+    }
+
+    /// Brings a call up to date after its try has ended.
+    void endTry(const TryEnded &ended, Call &call, std::map<WorkerId, Worker>::iterator worker) {
         call.hasTryInFlight = false;
         if (ended.outcome == Outcome::localFailure) {
             ++call.triesFailedLocally;
@@ -904,8 +915,7 @@
         countOpenTry(call, -1);
         if (ended.actualUnits) correctUnits(call, *ended.actualUnits - call.units);
         if (!call.isClosed && !ended.isCallClosed) retryQueue.push_back(ended.call);
-        if (call.isClosed || ended.isCallClosed) calls.erase(found);
-        serveRetryQueue();
+        if (call.isClosed || ended.isCallClosed) calls.erase(ended.call);
     }
 
     /// Corrects the customer's use once the actual cost of a call is known. `difference` is the actual cost
@@ -946,40 +956,58 @@
         calls.erase(id);
     }
 
-    // ---- Calls that wait for a usable list of workers ----
+    // ---- Calls that wait before their first try ----
+
+    /// Whether one more try may be sent, to whatever worker.
+    bool hasFreeTry() const { return triesInFlight < settings.maxTriesInFlight; }
+
+    /// Keeps an admitted call waiting until another try ends. No more calls wait than tries may be in flight,
+    /// so that the wait is about the time of one try; the others are given up at once.
+    void awaitFreeTry(CallId id, Call &call) {
+        if (waitingCalls.size() >= settings.maxTriesInFlight || !hasTimeForFirstTry(call))
+            return endWaitingCall(id, call);
+        waitingCalls.push_back(id);
+    }
 
     /// Holds all tries back while the list of workers can't be used, and sends what waited once it can.
     void on(const WorkerListUsableChanged &changed) {
         isListUsable = changed.isUsable;
         if (!isListUsable) return;
-        for (const CallId id : std::exchange(callsAwaitingList, {})) {
+        sendWaitingCalls();
+        serveRetryQueue();
+    }
+
+    /// Goes on with the calls that wait, as far as they may be sent now.
+    void sendWaitingCalls() {
+        while (isListUsable && hasFreeTry() && !waitingCalls.empty()) {
+            const CallId id = waitingCalls.front();
+            waitingCalls.pop_front();
             const auto found = calls.find(id);
             if (found != calls.end()) resumeCall(id, found->second);
         }
-        serveRetryQueue();
     }
 
-    /// Goes on with a call that waited for a usable list.
+    /// Goes on with a call that waited.
     void resumeCall(CallId id, Call &call) {
-        if (call.isClosed || !hasTimeForFirstTry(call)) return endAwaitingCall(id, call);
+        if (call.isClosed || !hasTimeForFirstTry(call)) return endWaitingCall(id, call);
         if (!call.isAdmitted) return admit(CallReceived(call), call.receivedAt);
         sendFirstTry(id, call, customerOf(call));
     }
 
-    /// Ends a call that waited for a usable list in vain.
-    void endAwaitingCall(CallId id, Call &call) {
+    /// Ends a call that waited in vain.
+    void endWaitingCall(CallId id, Call &call) {
         if (call.isHeld) countOpenTry(call, -1);
         if (!call.isClosed) return giveUp(id, call);
         calls.erase(id);
     }
 
-    /// Gives up the calls that have waited for a usable list for too long.
-    void expireCallsAwaitingList() {
-        std::erase_if(callsAwaitingList, [this](CallId id) {
+    /// Gives up the calls that have waited for too long.
+    void expireWaitingCalls() {
+        std::erase_if(waitingCalls, [this](CallId id) {
             const auto found = calls.find(id);
             if (found == calls.end()) return true;
             if (!found->second.isClosed && hasTimeForFirstTry(found->second)) return false;
-            endAwaitingCall(id, found->second);
+            endWaitingCall(id, found->second);
             return true;
         });
     }
@@ -1002,7 +1030,9 @@
     }
 
     /// Whether nothing that will pass by itself keeps a queued call from its next try.
-    bool mayTryNow(const Call &call) const { return isListUsable && now >= call.retryNotBefore; }
+    bool mayTryNow(const Call &call) const {
+        return isListUsable && hasFreeTry() && now >= call.retryNotBefore;
+    }
 
     /// Whether another try does no harm: the call hasn't run, or is idempotent, or workers still recognize
     /// the repeat of a tokened call.
@@ -1345,7 +1375,7 @@
         actions.push_back(SetTimer{now + kTickInterval, kTickToken});
         isRankingStale = true;
         cancelOvertakenTries();
-        expireCallsAwaitingList();
+        expireWaitingCalls();
         if (!retryQueue.empty()) serveRetryQueue();
         // No call is held for longer than two counter timeouts, for whatever reason the counter's reply is
         // late.
--- a/src/facts/settings.cpp
+++ b/src/facts/settings.cpp
@@ -148,7 +148,6 @@
         settings.loadColumnNames = readNames(objectOrEmpty(all, "report"), "columns");
         const json permissions = objectOrEmpty(all, "permissions");
         settings.workerIdleTimeout = readMilliseconds(permissions, "keepaliveMs");
-        settings.maxTriesPerConnection = std::max(1u, permissions.value("streamsPerConn", 1u));
         return settings;
     } catch (const json::exception &error) {
         throw ConfigError(std::string("settings: ") + error.what());
--- a/src/facts/settings.hpp
+++ b/src/facts/settings.hpp
@@ -24,7 +24,6 @@
     std::vector<std::string> workerTypeNames;  ///< by WorkerTypeId
     std::vector<std::string> loadColumnNames;  ///< columns of a load report, in the order of `loadColumns`
     Duration workerIdleTimeout{};              ///< after which workers close an idle connection
-    unsigned maxTriesPerConnection = 1;        ///< concurrent tries on one connection to a worker
 };
 
 /// Reads the settings from their JSON text. Unknown keys are ignored. Throws ConfigError on malformed JSON, a
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -17,13 +17,20 @@
 /// If the event loop wakes up later than planned by more than this, the process was suspended meanwhile.
 constexpr Duration kMaxWakeDelay = milliseconds(5);
 
+/// The settings of the engine, with the bound that follows from this gateway's connections.
+EngineSettings engineSettingsOf(const ServerContext &context) {
+    EngineSettings settings = context.startDocument.settings.engine;
+    settings.maxTriesInFlight = context.limits.maxWorkerConnections;
+    return settings;
+}
+
 }  // namespace
 
 Gateway::Gateway(uv_loop_t *loop, StartDocument startDocument, Log &log,
                  std::function<StartDocument()> readStartDocument)
     : context_{.loop = loop, .startDocument = std::move(startDocument), .log = log},
       readStartDocument_(std::move(readStartDocument)),
-      engine_(context_.startDocument.settings.engine, context_.startDocument.seed),
+      engine_(engineSettingsOf(context_), context_.startDocument.seed),
       clients_(context_, pendingCalls_),
       workers_(
           context_, [this](CallId call, std::string_view value) { handleWorkerAnswer(call, value); },
--- a/src/net/worker_connections.cpp
+++ b/src/net/worker_connections.cpp
@@ -1,8 +1,7 @@
 #include "worker_connections.hpp"
 
 #include <algorithm>
-#include <deque>
-#include <tuple>
+#include <optional>
 
 namespace arrowstile {
 namespace {
@@ -39,8 +38,7 @@
     bool isProbe = false;
     Timestamp queuedAt{};
     Timestamp deadline{};
-    bool isWritten = false;       ///< at least to the connection's output buffer
-    std::uint64_t endOffset = 0;  ///< once written: in the connection's output, of the byte after the request
+    bool isWritten = false;  ///< at least to the connection's output buffer
     TimerQueue::Key timeoutTimer{};
 };
 
@@ -55,7 +53,7 @@
     std::vector<std::unique_ptr<Connection>> connections;  ///< the most recently used one is last
 };
 
-/// A connection to a worker, with the tries and probes that were sent on it and are not over.
+/// A connection to a worker, with the try or probe on it that is not over.
 struct WorkerConnections::Connection final : TcpConnection::Handler {
     Connection(WorkerConnections &connections, WorkerId to, unsigned ofGeneration)
         : owner(connections), worker(to), generation(ofGeneration) {}
@@ -63,19 +61,18 @@
     ~Connection() {
         owner.incompleteReplyBytes_ -= incompleteReplyBytes;
         owner.context_.timers.cancel(connectTimer);
-        for (const InFlightRequest &request : inFlight) owner.context_.timers.cancel(request.timeoutTimer);
+        if (inFlight) owner.context_.timers.cancel(inFlight->timeoutTimer);
         owner.unflushedConnections_.erase(this);
         --owner.connectionCount_;
     }
 
     void onOpen() override;
-    void onOutputSent() override { owner.unflushedConnections_.insert(this); }
-
     std::size_t onData(std::string_view bytes) override;
+    bool handleReply(const resp::Reply &reply);
     std::size_t closeOnInvalidReply();
 
     void onClosed(CloseReason reason) override {
-        const Timestamp idleUntil = inFlight.empty() ? owner.context_.clock.now() : inFlight.front().queuedAt;
+        const Timestamp idleUntil = inFlight ? inFlight->queuedAt : owner.context_.clock.now();
         if (isOpen && idleSince > Timestamp{} && !hasReceivedSinceIdle)
             owner.shortenIdleTimeout(idleUntil - idleSince);
         owner.closeConnection(*this, Outcome::reset, undeliveredOutcome(reason));
@@ -85,8 +82,8 @@
     const WorkerId worker;
     const unsigned generation;  ///< of the pool when the connection was started
     TcpConnection::Ptr tcp;
-    std::deque<InFlightRequest> inFlight;  ///< in their order; those that are not written come last
-    std::uint64_t writtenBytes = 0;
+    std::optional<InFlightRequest> inFlight;
+    std::uint64_t writtenBytes = 0;        ///< of all requests so far
     std::size_t incompleteReplyBytes = 0;  ///< buffered input that is not a whole reply yet
     Timestamp idleSince{};                 ///< when it opened or the last awaited reply was received
     TimerQueue::Key connectTimer{};
@@ -175,82 +172,75 @@
     Connection *connection = connectionFor(pool, request.worker, failure);
     if (connection == nullptr) return reportEnd(request, failure, nullptr);
     ++context_.metrics.triesSent;
-    connection->inFlight.push_back(request);
-    scheduleTimeout(*connection, connection->inFlight.back());
+    connection->inFlight = request;
+    scheduleTimeout(*connection);
     if (connection->isOpen) unflushedConnections_.insert(connection);
 }
 
-/// Returns a connection for the next request, or nullptr, and then sets `failure`.
-///
-/// Each try gets a connection of its own, because a try that is given up closes its connection, and replies
-/// on a shared connection wait for each other. Tries share connections only when the maximum number of
-/// connections is reached, up to the number of tries per connection that the settings allow.
+/// Returns a connection without a request for the next one, or nullptr, and then sets `failure`. At the limit
+/// on connections, an idle connection to another worker is closed for the new one.
 WorkerConnections::Connection *WorkerConnections::connectionFor(ConnectionPool &pool, WorkerId worker,
                                                                 Outcome &failure) {
     if (Connection *idle = takeIdleConnection(pool)) return idle;
-    if (connectionCount_ < context_.limits.maxWorkerConnections) {
-        CloseReason reason = CloseReason::peerClosed;
-        Connection *connecting = pool.hasValidAddress ? connect(pool, worker, reason) : nullptr;
-        failure = undeliveredOutcome(reason);
-        return connecting;
-    }
-    const auto leastLoaded = std::ranges::min_element(pool.connections, {}, [this](const auto &candidate) {
-        return std::tuple(!isUsable(*candidate), !candidate->isOpen, candidate->inFlight.size());
-    });
+    const bool hasRoom =
+        connectionCount_ < context_.limits.maxWorkerConnections || closeLongestIdleConnection();
     failure = Outcome::notSent;
-    const std::size_t maxTries = context_.startDocument.settings.maxTriesPerConnection;
-    const bool hasRoom = leastLoaded != pool.connections.end() && (*leastLoaded)->inFlight.size() < maxTries;
-    return hasRoom ? leastLoaded->get() : nullptr;
+    if (!hasRoom) return nullptr;
+    CloseReason reason = CloseReason::peerClosed;
+    Connection *connecting = pool.hasValidAddress ? connect(pool, worker, reason) : nullptr;
+    failure = undeliveredOutcome(reason);
+    return connecting;
 }
 
-void WorkerConnections::scheduleTimeout(Connection &connection, InFlightRequest &request) {
-    request.timeoutTimer = context_.timers.schedule(
-        request.deadline, [this, &connection, call = request.call, tryNumber = request.tryNumber] {
-            handleTimeout(connection, call, tryNumber);
-        });
+/// Closes the connection without a request that was used least recently, to whatever worker. Returns false if
+/// there is none.
+bool WorkerConnections::closeLongestIdleConnection() {
+    Connection *longestIdle = nullptr;
+    for (const auto &[id, pool] : pools_) {
+        for (const auto &candidate : pool.connections) {
+            if (candidate->inFlight) continue;
+            if (longestIdle == nullptr || candidate->idleSince < longestIdle->idleSince)
+                longestIdle = candidate.get();
+        }
+    }
+    if (longestIdle == nullptr) return false;
+    closeConnection(*longestIdle, Outcome::reset);
+    return true;
+}
+
+void WorkerConnections::scheduleTimeout(Connection &connection) {
+    connection.inFlight->timeoutTimer = context_.timers.schedule(
+        connection.inFlight->deadline, [this, &connection] { handleTimeout(connection); });
 }
 
 /// Ends a request that has reached its deadline. Its connection is closed if it was written there.
-void WorkerConnections::handleTimeout(Connection &connection, CallId call, TryNumber tryNumber) {
-    const auto found = std::ranges::find_if(connection.inFlight, [&](const InFlightRequest &candidate) {
-        return candidate.call == call && candidate.tryNumber == tryNumber;
-    });
-    const auto index = static_cast<std::size_t>(found - connection.inFlight.begin());
-    const InFlightRequest timedOut = takeRequest(connection, index);
+void WorkerConnections::handleTimeout(Connection &connection) {
+    const InFlightRequest timedOut = takeRequest(connection);
     if (timedOut.isWritten) closeConnection(connection, Outcome::reset);
     reportEnd(timedOut, timedOut.isWritten ? Outcome::timedOut : Outcome::notSent, nullptr);
 }
 
-/// Removes a request from its connection, without reporting its end.
-WorkerConnections::InFlightRequest WorkerConnections::takeRequest(Connection &connection, std::size_t index) {
-    const auto position = connection.inFlight.begin() + static_cast<std::ptrdiff_t>(index);
-    const InFlightRequest taken = *position;
-    connection.inFlight.erase(position);
+/// Removes the request from its connection, without reporting its end.
+WorkerConnections::InFlightRequest WorkerConnections::takeRequest(Connection &connection) {
+    const InFlightRequest taken = *std::exchange(connection.inFlight, std::nullopt);
     context_.timers.cancel(taken.timeoutTimer);
     return taken;
 }
 
-/// Writes the requests that are queued on an open connection, as described at flush().
-void WorkerConnections::writeQueuedRequests(Connection &connection) {
-    std::size_t index = 0;
-    while (index < connection.inFlight.size() && connection.tcp->unsentBytes() == 0) {
-        InFlightRequest &request = connection.inFlight[index];
-        if (request.isWritten) {
-            ++index;
-            continue;
-        }
-        const std::string command = commandOf(connection, request);
+/// Writes the request that is queued on an open connection, if any, as described at flush().
+void WorkerConnections::writeQueuedRequest(Connection &connection) {
+    if (connection.inFlight && !connection.inFlight->isWritten) {
+        const std::string command = commandOf(connection, *connection.inFlight);
         if (command.empty()) {
-            reportEnd(takeRequest(connection, index), Outcome::notSent, nullptr);
-            continue;
+            reportEnd(takeRequest(connection), Outcome::notSent, nullptr);
+        } else {
+            connection.inFlight->isWritten = true;
+            connection.writtenBytes += command.size();
+            connection.tcp->write(command);
+            connection.tcp->flush();
         }
-        connection.tcp->write(command);
-        connection.writtenBytes += command.size();
-        request.endOffset = connection.writtenBytes;
-        request.isWritten = true;
-        connection.tcp->flush();
     }
-    if (connection.inFlight.empty() && !isUsable(connection)) closeConnection(connection, Outcome::reset);
+    if (!connection.inFlight && !isUsable(connection)) closeConnection(connection, Outcome::reset);
 }
 
 /// Whether a connection may take further requests: its worker is ready and has the process and the address
@@ -277,7 +267,7 @@
 WorkerConnections::Connection *WorkerConnections::takeIdleConnection(ConnectionPool &pool) {
     for (auto index = pool.connections.size(); index > 0; --index) {
         const auto candidate = pool.connections.begin() + static_cast<std::ptrdiff_t>(index) - 1;
-        if (!(*candidate)->isOpen || !(*candidate)->inFlight.empty()) continue;
+        if (!(*candidate)->isOpen || (*candidate)->inFlight) continue;
         if ((*candidate)->tcp->hasUnreadInput() ||
             context_.clock.now() - (*candidate)->idleSince > idleTimeout_) {
             pool.connections.erase(candidate);
@@ -305,20 +295,19 @@
     return connection;
 }
 
-/// Closes a connection and reports the end of all requests in flight on it: as `outcome` if the whole request
-/// was handed to the system, and otherwise as `undelivered`, because then the worker can't have run it.
-/// Connections with requests in flight are closed only here, so that the end of each request is reported.
+/// Closes a connection and reports the end of the request on it: as `outcome` if the whole request was handed
+/// to the system, and otherwise as `undelivered`, because then the worker can't have run it. Connections with
+/// a request are closed only here, so that the end of each request is reported.
 void WorkerConnections::closeConnection(Connection &connection, Outcome outcome, Outcome undelivered) {
     auto &connections = pools_.at(connection.worker).connections;
     const auto found = std::ranges::find_if(
         connections, [&](const auto &candidate) { return candidate.get() == &connection; });
     const auto closing = std::move(*found);
     connections.erase(found);
-    for (const InFlightRequest &request : closing->inFlight) {
-        const bool wasSent =
-            request.isWritten && closing->isOpen && closing->tcp->sentBytes() >= request.endOffset;
-        reportEnd(request, wasSent ? outcome : undelivered, nullptr);
-    }
+    if (!closing->inFlight) return;
+    const bool wasSent =
+        closing->inFlight->isWritten && closing->isOpen && closing->tcp->sentBytes() >= closing->writtenBytes;
+    reportEnd(*closing->inFlight, wasSent ? outcome : undelivered, nullptr);
 }
 
 void WorkerConnections::Connection::onOpen() {
@@ -329,55 +318,50 @@
 }
 
 std::size_t WorkerConnections::Connection::onData(std::string_view bytes) {
-    std::size_t consumedBytes = 0;
-    resp::Reply reply;
+    const std::size_t maxValueBytes = owner.context_.limits.maxReplyValueBytes;
     hasReceivedSinceIdle = true;
-    while (consumedBytes < bytes.size()) {
-        const auto rest = bytes.substr(consumedBytes);
-        const auto maxValueBytes = owner.context_.limits.maxReplyValueBytes;
-        const auto parsed = inFlight.empty() || !inFlight.front().isWritten ||
-                                    !(inFlight.front().isProbe || mayBecomeCallReply(rest, maxValueBytes))
-                                ? resp::ParseResult::malformed
-                                : resp::parseReply(rest, reply, maxValueBytes);
-        if (parsed == resp::ParseResult::incomplete) break;
-        if (parsed == resp::ParseResult::malformed) return closeOnInvalidReply();
-        consumedBytes += reply.consumedBytes;
-        const InFlightRequest request = inFlight.front();
-        inFlight.pop_front();
-        owner.context_.timers.cancel(request.timeoutTimer);
-        WorkerReply workerReply = parseWorkerReply(reply, owner.context_.startDocument.settings);
-        if (request.isProbe) {
-            const bool isLoadReport = reply.kind == resp::Reply::Kind::bulk;
-            if (isLoadReport)
-                workerReply.load = parseLoadReport(reply.text, owner.context_.startDocument.settings);
-            if (isLoadReport || reply.kind == resp::Reply::Kind::status)
-                workerReply.outcome = Outcome::answered;
-        }
-        if (workerReply.isUnexpected && !request.isProbe) {
-            inFlight.push_front(request);
-            return closeOnInvalidReply();
-        }
-        if (workerReply.isSyntaxError)
-            owner.context_.log.error("a worker could not read a command: ", reply.text);
-        owner.reportEnd(request, workerReply.outcome, &workerReply);
+    // Input without a request belongs to no request, or to an earlier one.
+    if (!inFlight || !inFlight->isWritten) return closeOnInvalidReply();
+    if (!inFlight->isProbe && !mayBecomeCallReply(bytes, maxValueBytes)) return closeOnInvalidReply();
+    resp::Reply reply;
+    const resp::ParseResult parsed = resp::parseReply(bytes, reply, maxValueBytes);
+    if (parsed == resp::ParseResult::malformed) return closeOnInvalidReply();
+    if (parsed == resp::ParseResult::incomplete) {
+        owner.incompleteReplyBytes_ += bytes.size() - std::exchange(incompleteReplyBytes, bytes.size());
+        return 0;
     }
-    if (inFlight.empty()) {
-        idleSince = owner.context_.clock.now();
-        hasReceivedSinceIdle = false;
-        if (!owner.isUsable(*this)) {
-            owner.closeConnection(*this, Outcome::reset);
-            return 0;
-        }
+    if (!handleReply(reply)) return closeOnInvalidReply();
+    owner.incompleteReplyBytes_ -= std::exchange(incompleteReplyBytes, 0);
+    idleSince = owner.context_.clock.now();
+    hasReceivedSinceIdle = false;
+    const bool hasSurplus = reply.consumedBytes < bytes.size();
+    if (!hasSurplus && owner.isUsable(*this)) return bytes.size();
+    owner.closeConnection(*this, Outcome::reset);
+    return 0;
+}
+
+/// Ends the request with its reply. Returns false without effect if it can't be the reply to an API call.
+bool WorkerConnections::Connection::handleReply(const resp::Reply &reply) {
+    const Settings &settings = owner.context_.startDocument.settings;
+    WorkerReply workerReply = parseWorkerReply(reply, settings);
+    if (inFlight->isProbe) {
+        const bool isLoadReport = reply.kind == resp::Reply::Kind::bulk;
+        if (isLoadReport) workerReply.load = parseLoadReport(reply.text, settings);
+        if (isLoadReport || reply.kind == resp::Reply::Kind::status) workerReply.outcome = Outcome::answered;
+    } else if (workerReply.isUnexpected) {
+        return false;
     }
-    owner.incompleteReplyBytes_ += bytes.size() - consumedBytes - incompleteReplyBytes;
-    incompleteReplyBytes = bytes.size() - consumedBytes;
-    return consumedBytes;
+    if (workerReply.isSyntaxError)
+        owner.context_.log.error("a worker could not read a command: ", reply.text);
+    const InFlightRequest ended = owner.takeRequest(*this);
+    owner.reportEnd(ended, workerReply.outcome, &workerReply);
+    return true;
 }
 
-/// Closes the connection, because its input can no longer be matched to requests. Returns the number of bytes
-/// consumed. Tries on it may have run; they count as errored, since the close says little about the worker.
+/// Closes the connection, because its input can't be matched to a request. Returns the number of bytes
+/// consumed. A try on it may have run; it counts as errored, since the close says little about the worker.
 std::size_t WorkerConnections::Connection::closeOnInvalidReply() {
-    if (!inFlight.empty()) ++owner.context_.metrics.invalidReplies;
+    if (inFlight) ++owner.context_.metrics.invalidReplies;
     owner.closeConnection(*this, Outcome::errored);
     return 0;
 }
@@ -424,13 +408,10 @@
 void WorkerConnections::cancelTry(CallId call, TryNumber tryNumber) {
     for (auto &[id, pool] : pools_) {
         for (const auto &connection : pool.connections) {
-            const auto found =
-                std::ranges::find_if(connection->inFlight, [&](const InFlightRequest &candidate) {
-                    return !candidate.isProbe && candidate.call == call && candidate.tryNumber == tryNumber;
-                });
-            if (found == connection->inFlight.end()) continue;
-            const auto index = static_cast<std::size_t>(found - connection->inFlight.begin());
-            const InFlightRequest cancelled = takeRequest(*connection, index);
+            const auto &request = connection->inFlight;
+            if (!request || request->isProbe || request->call != call || request->tryNumber != tryNumber)
+                continue;
+            const InFlightRequest cancelled = takeRequest(*connection);
             if (cancelled.isWritten) closeConnection(*connection, Outcome::reset);
             return reportEnd(cancelled, Outcome::cancelled, nullptr);
         }
@@ -447,7 +428,7 @@
     const auto found = pools_.find(worker);
     if (found == pools_.end()) return;
     std::erase_if(found->second.connections,
-                  [](const auto &connection) { return connection->isOpen && connection->inFlight.empty(); });
+                  [](const auto &connection) { return connection->isOpen && !connection->inFlight; });
 }
 
 /// Closes connections until the incomplete replies fit into the memory. The longest one is given up first, so
@@ -466,7 +447,7 @@
 void WorkerConnections::flush(bool mayWrite) {
     dropExcessiveReplies();
     while (mayWrite && !unflushedConnections_.empty())
-        writeQueuedRequests(*unflushedConnections_.extract(unflushedConnections_.begin()).value());
+        writeQueuedRequest(*unflushedConnections_.extract(unflushedConnections_.begin()).value());
 }
 
 /// Runs periodically: closes connections that were idle for too long, lets the idle timeout grow again and
@@ -480,8 +461,7 @@
     for (auto &[id, pool] : pools_) {
         if (idleTimeout <= Duration{}) break;
         std::erase_if(pool.connections, [&](const auto &connection) {
-            return connection->isOpen && connection->inFlight.empty() &&
-                   now - connection->idleSince > idleTimeout;
+            return connection->isOpen && !connection->inFlight && now - connection->idleSince > idleTimeout;
         });
     }
     std::erase_if(pools_,
--- a/src/net/worker_connections.hpp
+++ b/src/net/worker_connections.hpp
@@ -18,6 +18,9 @@
 
 /// Keeps a pool of connections to each worker. Each try and each probe ends in exactly one TryEnded or
 /// ProbeEnded event, whatever happens to its connection.
+///
+/// A connection carries one request at a time. Replies name no request, and a worker may leave a request
+/// without a reply, so the reply to a request behind it would be taken for the reply to that one.
 class WorkerConnections {
 public:
     /// Receives the value of a call that a worker answered. It has to send the value to the client and close
@@ -42,10 +45,10 @@
     void sendProbe(WorkerId worker);
     /// Closes all connections to a worker on which no reply is awaited.
     void closeIdleConnections(WorkerId worker);
-    /// If `mayWrite`, writes the queued requests whose connections are open, unless the output before them
-    /// waits for the system. A request ends as notSent instead if by now its worker is not ready, has another
-    /// process or address, or if the call is closed or its deadline has passed. Before that, closes
-    /// connections if incomplete replies take up too much memory.
+    /// If `mayWrite`, writes the queued requests whose connections are open. A request ends as notSent
+    /// instead if by now its worker is not ready, has another process or address, or if the call is closed or
+    /// its deadline has passed. Before that, closes connections if incomplete replies take up too much
+    /// memory.
     void flush(bool mayWrite);
     /// Whether flush() may have something to write.
     bool hasQueuedRequests() const { return !unflushedConnections_.empty(); }
@@ -59,13 +62,14 @@
 
     void queueRequest(ConnectionPool &pool, const InFlightRequest &request);
     Connection *connectionFor(ConnectionPool &pool, WorkerId worker, Outcome &failure);
-    void scheduleTimeout(Connection &connection, InFlightRequest &request);
-    void handleTimeout(Connection &connection, CallId call, TryNumber tryNumber);
-    void writeQueuedRequests(Connection &connection);
+    bool closeLongestIdleConnection();
+    void scheduleTimeout(Connection &connection);
+    void handleTimeout(Connection &connection);
+    void writeQueuedRequest(Connection &connection);
     bool isUsable(const Connection &connection) const;
     std::string commandOf(const Connection &connection, const InFlightRequest &request) const;
     std::string probeCommand() const;
-    InFlightRequest takeRequest(Connection &connection, std::size_t index);
+    InFlightRequest takeRequest(Connection &connection);
     void dropExcessiveReplies();
     Connection *takeIdleConnection(ConnectionPool &pool);
     Connection *connect(ConnectionPool &pool, WorkerId worker, CloseReason &failure);
--- a/tests/test_decision_engine.cpp
+++ b/tests/test_decision_engine.cpp
@@ -1023,3 +1023,26 @@
         CHECK(repeated[0].amount == 1);
     }
 }
+
+// Guards against tries for which there is no connection, and against calls that wait for one without a bound.
+TEST_CASE("calls beyond the number of tries that connections allow wait in order, as many as that number") {
+    EngineSettings settings = testEngineSettings();
+    settings.maxTriesInFlight = 2;
+    EngineHarness engine(settings);
+    engine.setWorkerCount(4);
+    REQUIRE(engine.receiveCall(1).actionsOf<SendTry>().size() == 1);
+    const WorkerId firstWorker = engine.actionsOf<SendTry>()[0].worker;
+    CHECK(engine.receiveCall(2).actionsOf<SendTry>().size() == 1);
+    for (const std::uint64_t id : {3, 4}) CHECK(engine.receiveCall(id).actions.empty());
+    CHECK(engine.receiveCall(5).actionsOf<AnswerRateLimited>().size() == 1);
+    const auto sent = engine.endTry(1, 0, firstWorker, Outcome::answered, true).actionsOf<SendTry>();
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].call == CallId{3});
+    // A call that could not be tried again in time is answered while there is still time for the client.
+    engine.advance(milliseconds(1900));
+    CHECK(engine.finalAnswerCount() == 0);
+    engine.advance(milliseconds(200));
+    const auto answered = engine.actionsOf<AnswerRateLimited>();
+    REQUIRE(answered.size() == 1);
+    CHECK(answered[0].call == CallId{4});
+}
