Connections give large buffers back: long messages no longer pass the memory limit

TcpConnection freed its buffers by assigning {}, which for a vector or string is the assignment of an empty initializer list and keeps the memory; each connection held up to 128 KiB for input for good.

Reads now go into one buffer of 4 KiB that all connections share; a connection keeps only what could not be used, output that was sent in part is moved to a buffer of its size, and empty buffers are freed. Blocks of 16 KiB and more go back to the system at once (mallopt).

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # Targets for development. README.md lists what they need.
 JOBS ?= 4
+MEMORY_PLAYS = long-values
 
 .PHONY: build lab test memory soak lint run clean
 
@@ -17,9 +18,11 @@
 	cmake --build build-test -j$(JOBS)
 	ctest --test-dir build-test --output-on-failure
 
-# Plays long answers behind a silent worker at three memory limits, which bound the process. Needs a build without
-# sanitizers.
+# Plays traffic that takes up memory, and checks that the process keeps its limit. Needs a build without sanitizers.
 memory: build
+	for play in $(MEMORY_PLAYS); do \
+		python3 tests/rehearsal/memory_bounds.py build/arrowstile $$play --connections 240 || exit 1; \
+	done
 	for limit in 32 64 192; do \
 		python3 tests/rehearsal/long_answers.py build/arrowstile --memory-mb $$limit || exit 1; \
 	done
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// The gateway program: reads the start document that EDGE_CONFIG names and serves until a planned stop.
+#include <malloc.h>
 #include <uv.h>
 
 #include <csignal>
@@ -12,6 +13,10 @@
 
 namespace {
 
+/// Larger blocks of memory go back to the system as soon as they are freed. By default the C library raises
+/// this limit with each such block, and small blocks that live on then keep large ones from going back.
+constexpr int kMinReturnedBlockBytes = 16 * 1024;
+
 /// Returns the log level of that name; `info` if there is no name (nullptr) or the name is unknown.
 arrowstile::Log::Level parseLogLevel(const char *name) {
     using Level = arrowstile::Log::Level;
@@ -46,6 +51,7 @@
 }  // namespace
 
 int main() {
+    mallopt(M_MMAP_THRESHOLD, kMinReturnedBlockBytes);
     std::ios::sync_with_stdio(false);
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGHUP, SIG_IGN);  // A reload is possible only once the event loop runs.
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -3,18 +3,31 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
-#include <cstring>
 #include <utility>
 
 namespace arrowstile {
 namespace {
 
-constexpr std::size_t kInitialInputBufferBytes = 2048;
-/// Before a read the buffer is compacted, and doubled if necessary, until this much of it is free.
-constexpr std::size_t kMinReadBytes = 1024;
-/// Larger buffers are freed as soon as they are empty.
-constexpr std::size_t kMaxIdleBufferBytes = 16 * 1024;
+/// Most bytes of one read.
+constexpr std::size_t kReadBytes = 4 * 1024;
+/// When the buffer for unconsumed input has to grow, it gets this fraction (1/4) more than it needs.
+constexpr std::size_t kInputReserveDivisor = 4;
+
+/// What a read puts its bytes into. All connections of a thread share it, since what a handler does not
+/// consume at once is copied.
+thread_local std::array<char, kReadBytes> readBuffer;
+
+/// A larger buffer for output is freed when it is empty.
+constexpr std::size_t kMaxIdleOutputBytes = 4 * 1024;
+
+/// Frees the memory of a container. An assignment of `{}` would keep it: for a container that is the
+/// assignment of an empty initializer list.
+template <class Container>
+void freeMemory(Container &container) {
+    Container().swap(container);
+}
 
 TcpConnection *toConnection(void *data) { return static_cast<TcpConnection *>(data); }
 
@@ -111,24 +124,8 @@
     handler_->onClosed(reason);
 }
 
-/// Offers the free end of the input buffer to libuv for the next read.
-void TcpConnection::onAllocate(uv_handle_t *handle, std::size_t, uv_buf_t *buffer) {
-    TcpConnection &self = *toConnection(handle->data);
-    if (self.inputBegin_ == self.inputEnd_) {
-        self.inputBegin_ = self.inputEnd_ = 0;
-    }
-    if (self.inputBuffer_.size() - self.inputEnd_ < kMinReadBytes && self.inputBegin_ > 0) {
-        std::memmove(self.inputBuffer_.data(), self.inputBuffer_.data() + self.inputBegin_,
-                     self.inputEnd_ - self.inputBegin_);
-        self.inputEnd_ -= self.inputBegin_;
-        self.inputBegin_ = 0;
-    }
-    if (self.inputBuffer_.size() - self.inputEnd_ < kMinReadBytes) {
-        self.inputBuffer_.resize(self.inputBuffer_.empty() ? kInitialInputBufferBytes
-                                                           : self.inputBuffer_.size() * 2);
-    }
-    *buffer = uv_buf_init(self.inputBuffer_.data() + self.inputEnd_,
-                          static_cast<unsigned>(self.inputBuffer_.size() - self.inputEnd_));
+void TcpConnection::onAllocate(uv_handle_t *, std::size_t, uv_buf_t *buffer) {
+    *buffer = uv_buf_init(readBuffer.data(), static_cast<unsigned>(readBuffer.size()));
 }
 
 void TcpConnection::onRead(uv_stream_t *handle, ssize_t size, const uv_buf_t *buffer) {
@@ -136,20 +133,32 @@
     if (self.handler_ == nullptr) return;
     if (size < 0) return self.handleClose(CloseReason::peerClosed);
     self.hasReadAllInput_ = static_cast<std::size_t>(size) < buffer->len;
-    if (size == 0) return;
-    self.inputEnd_ += static_cast<std::size_t>(size);
-    self.deliverInput();
-}
-
-void TcpConnection::deliverInput() {
-    const std::size_t consumedBytes =
-        handler_->onData({inputBuffer_.data() + inputBegin_, inputEnd_ - inputBegin_});
-    if (handler_ == nullptr) return;
-    inputBegin_ += consumedBytes;
-    if (inputBegin_ == inputEnd_ && inputBuffer_.size() > kMaxIdleBufferBytes) {
-        inputBuffer_ = {};
-        inputBegin_ = inputEnd_ = 0;
+    if (size > 0) self.handleInput({buffer->base, static_cast<std::size_t>(size)});
+}
+
+/// Passes input that was just received to the handler, behind the input that it has not consumed before.
+void TcpConnection::handleInput(std::string_view received) {
+    if (!unconsumedInput_.empty()) {
+        appendUnconsumedInput(received);
+        return deliverUnconsumedInput();
     }
+    const std::size_t consumedBytes = handler_->onData(received);
+    if (handler_ != nullptr) appendUnconsumedInput(received.substr(consumedBytes));
+}
+
+void TcpConnection::deliverUnconsumedInput() {
+    const std::string_view input(unconsumedInput_.data(), unconsumedInput_.size());
+    const std::size_t consumedBytes = handler_->onData(input);
+    if (handler_ == nullptr || consumedBytes == 0) return;
+    std::vector<char> rest(input.begin() + static_cast<std::ptrdiff_t>(consumedBytes), input.end());
+    unconsumedInput_.swap(rest);
+}
+
+void TcpConnection::appendUnconsumedInput(std::string_view received) {
+    const std::size_t neededBytes = unconsumedInput_.size() + received.size();
+    if (neededBytes > unconsumedInput_.capacity() && !unconsumedInput_.empty())
+        unconsumedInput_.reserve(neededBytes + neededBytes / kInputReserveDivisor);
+    unconsumedInput_.insert(unconsumedInput_.end(), received.begin(), received.end());
 }
 
 void TcpConnection::flush() {
@@ -162,10 +171,11 @@
         queuedOutput_.erase(0, static_cast<std::size_t>(writtenBytes));
     }
     if (queuedOutput_.empty()) {
-        if (queuedOutput_.capacity() > kMaxIdleBufferBytes) queuedOutput_ = {};
+        if (queuedOutput_.capacity() > kMaxIdleOutputBytes) freeMemory(queuedOutput_);
         return;
     }
-    outputBeingWritten_.swap(queuedOutput_);
+    outputBeingWritten_ = queuedOutput_;  // without the memory of what was sent
+    freeMemory(queuedOutput_);
     writeRequest_.data = this;
     buffer = uv_buf_init(outputBeingWritten_.data(), static_cast<unsigned>(outputBeingWritten_.size()));
     if (uv_write(&writeRequest_, handle, &buffer, 1, onWritten) != 0) outputBeingWritten_.clear();
@@ -174,7 +184,7 @@
 void TcpConnection::onWritten(uv_write_t *request, int status) {
     TcpConnection &self = *toConnection(request->data);
     if (status == 0) self.sentBytes_ += self.outputBeingWritten_.size();
-    self.outputBeingWritten_ = {};
+    freeMemory(self.outputBeingWritten_);
     if (self.handler_ == nullptr) return;
     if (status != 0) return self.handleClose(CloseReason::peerClosed);
     self.flush();
@@ -192,10 +202,7 @@
     return sentBytes_ + outputBeingWritten_.size() - uv_stream_get_write_queue_size(handle);
 }
 
-void TcpConnection::discardInput() {
-    inputBuffer_ = {};
-    inputBegin_ = inputEnd_ = 0;
-}
+void TcpConnection::discardInput() { freeMemory(unconsumedInput_); }
 
 bool TcpConnection::hasUnreadInput() const {
     uv_os_fd_t descriptor;
@@ -214,7 +221,7 @@
         uv_read_start(handle, onAllocate, onRead);
         hasReadAllInput_ = !hasUnreadInput();
         // No further input need arrive to trigger the processing of what was read before the pause.
-        if (inputBegin_ < inputEnd_) deliverInput();
+        if (!unconsumedInput_.empty()) deliverUnconsumedInput();
     }
 }
 
--- a/src/net/tcp_connection.hpp
+++ b/src/net/tcp_connection.hpp
@@ -77,13 +77,18 @@
     void setReadPaused(bool paused);
     /// Frees all input that was read and not consumed. Not to be called from within onData().
     void discardInput();
+    /// Memory that is taken up by input that was read and not consumed, in bytes.
+    std::size_t inputMemoryBytes() const { return unconsumedInput_.capacity(); }
     /// Whether input, or the end of the connection, has arrived in the system and was not read yet.
     bool hasUnreadInput() const;
+    /// Whether the peer has closed its side or reset the connection, also if input before that was not read
+    /// yet.
+    bool hasPeerLeft() const;
     /// Whether everything that had arrived was read when the sockets were last read. False after a pause
     /// until what has gathered in the system is read.
     bool hasReadAllInput() const { return hasReadAllInput_; }
-    /// Bytes written that still take up memory. Those that libuv has begun to write count until all of them
-    /// were handed to the system.
+    /// Bytes written that the system has not taken yet. Those that libuv has begun to write count until the
+    /// system has taken all of them.
     std::size_t unsentBytes() const { return queuedOutput_.size() + outputBeingWritten_.size(); }
     /// Bytes handed to the system since the connection was made.
     std::uint64_t sentBytes() const;
@@ -93,7 +98,9 @@
     ~TcpConnection() = default;
 
     void handleOpen();
-    void deliverInput();
+    void handleInput(std::string_view received);
+    void deliverUnconsumedInput();
+    void appendUnconsumedInput(std::string_view received);
     void handleClose(CloseReason reason);
     static void onAllocate(uv_handle_t *handle, std::size_t, uv_buf_t *buffer);
     static void onRead(uv_stream_t *handle, ssize_t size, const uv_buf_t *);
@@ -103,15 +110,11 @@
     uv_connect_t connectRequest_{};
     uv_write_t writeRequest_{};
     uv_shutdown_t shutdownRequest_{};
-    Handler *handler_;  ///< nullptr once the connection's pointer was destroyed
-    /// Grows as needed. Input that was not consumed yet lies in [inputBegin_, inputEnd_) and is moved to the
-    /// front when space runs short.
-    std::vector<char> inputBuffer_;
-    std::size_t inputBegin_ = 0;
-    std::size_t inputEnd_ = 0;
-    std::string queuedOutput_;        ///< not handed to libuv yet
-    std::string outputBeingWritten_;  ///< in use by writeRequest_
-    std::uint64_t sentBytes_ = 0;     ///< without what has been sent of outputBeingWritten_
+    Handler *handler_;                   ///< nullptr once the connection's pointer was destroyed
+    std::vector<char> unconsumedInput_;  ///< takes up little more memory than its contents need
+    std::string queuedOutput_;           ///< not handed to libuv yet
+    std::string outputBeingWritten_;     ///< in use by writeRequest_
+    std::uint64_t sentBytes_ = 0;        ///< without what has been sent of outputBeingWritten_
     bool hasReadAllInput_ = true;
     bool isOpen_ = false;
     bool isWriteShutdown_ = false;
--- /dev/null
+++ b/tests/rehearsal/memory_bounds.py
@@ -0,0 +1,183 @@
+#!/usr/bin/env python3
+"""Plays one real gateway under traffic that takes up memory, on loopback, and checks that it keeps its limit.
+
+Each play puts one kind of load on the gateway; beside it, usual clients send a call every 50 ms each. The program
+prints how the calls of the usual clients ended and the peak of the process's resident memory, and ends with exit code
+1 if the process took more memory than its start document states, if it ended, or if a usual call got no answer, or got
+it later than its timeout.
+"""
+
+import argparse
+import asyncio
+import os
+import random
+import sys
+import tempfile
+import time
+
+from long_answers import ANSWER_SLACK_S, CLIENT_TIMEOUT_MS, HOST, Rehearsal, read_command
+from loopback import bulk
+
+LONG_BYTES = 64 * 1024
+USUAL_CLIENTS = 8
+USUAL_CALL_EVERY_S = 0.05
+WORK_S = 0.02
+LONG_CALLS_PER_SECOND = 100
+
+
+class MemoryRehearsal(Rehearsal):
+    """A play with `options.connections` connections of clients that take up memory."""
+
+    seconds = 10.0
+
+    def __init__(self, options):
+        super().__init__(options)
+        self.random = random.Random(options.seed)
+        self.latencies = []
+        self.load_counts = {}
+        self.load_writers = []
+
+    async def serve_worker(self, reader, writer):
+        """Answers a call with a body by a value as long as the body."""
+        self.writers.add(writer)
+        while words := await read_command(reader):
+            await asyncio.sleep(WORK_S)
+            size = len(words[4]) if len(words) > 4 else 0
+            value = (b"value of " + words[2] + b" ").ljust(size, b".")
+            self.answered_at[words[2]] = time.monotonic()
+            writer.write(b"*3\r\n" + bulk(value) + b"$-1\r\n$-1\r\n")
+        writer.close()
+
+    def start_document(self, port, discovery_port, counter_port):
+        document = super().start_document(port, discovery_port, counter_port)
+        document["limits"]["sockets"] = self.options.sockets
+        document["settings"]["classes"].append(
+            {"name": "submit", "effect": "keyed", "dedupWindowMs": 8000, "onTimeMs": 1000,
+             "deadlineMs": CLIENT_TIMEOUT_MS})
+        document["settings"]["packages"].append({"name": "small", "refill": 2, "storeSize": 8})
+        document["settings"]["packages"].append({"name": "open", "open": 4})
+        document["settings"]["packages"].append({"name": "ceiling", "neverOverRate": 10, "capDepth": 600})
+        return document
+
+    def call(self, body=None, customer=0xb4d65521, plan="basic", more_fields=b""):
+        """A command with a new id."""
+        self.sent += 1
+        ident = b"%016x" % self.sent
+        fields = b"c=%s,t=%s,d=%d,units=1,spread=1,first=0%s" % (
+            b"status" if body is None else b"submit", plan.encode(), CLIENT_TIMEOUT_MS, more_fields)
+        words = [b"Q.ASK" if body is None else b"Q.DO", b"%016x" % customer, ident]
+        words += [fields] if body is None else [fields + b",k=" + ident, body]
+        return ident, b"*%d\r\n" % len(words) + b"".join(bulk(word) for word in words)
+
+    async def connect(self):
+        reader, writer = await asyncio.open_connection(HOST, self.gateway_port, limit=1 << 20)
+        self.load_writers.append(writer)
+        return reader, writer
+
+    async def usual_client(self):
+        reader, writer = await self.connect()
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            ident, command = self.call()
+            started_at = time.monotonic()
+            writer.write(command)
+            try:
+                is_open = await asyncio.wait_for(self.read_answer(reader, ident),
+                                                 CLIENT_TIMEOUT_MS / 1000 + ANSWER_SLACK_S)
+            except asyncio.TimeoutError:
+                self.faults.append(f"usual call {ident.decode()} got no answer in time")
+                return
+            if not is_open:
+                self.faults.append(f"usual call {ident.decode()} met the end of its connection")
+                return
+            self.latencies.append(time.monotonic() - started_at)
+            await asyncio.sleep(USUAL_CALL_EVERY_S)
+        writer.close()
+
+    def count(self, what):
+        self.load_counts[what] = self.load_counts.get(what, 0) + 1
+
+    async def load_client(self, number):
+        raise NotImplementedError
+
+    async def guarded_load_client(self, number):
+        try:
+            await self.load_client(number)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.count("connections ended by the gateway")
+
+    async def play(self, directory):
+        await self.start(directory)
+        idle_kib = self.memory_kib()
+        loads = [asyncio.ensure_future(self.guarded_load_client(number)) for number in range(self.options.connections)]
+        try:
+            await asyncio.gather(*(self.usual_client() for _ in range(USUAL_CLIENTS)))
+        except OSError as error:
+            self.faults.append(f"a usual client: {error}")
+        for load in loads:
+            load.cancel()
+        await asyncio.gather(*loads, return_exceptions=True)
+        for writer in self.load_writers:
+            writer.transport.abort()
+        if self.process.poll() is not None:
+            self.faults.append(f"the gateway ended with {self.process.returncode}")
+            return
+        peak_kib = self.memory_kib()
+        self.process.terminate()
+        self.process.wait()
+        if peak_kib > self.options.memory_mb * 1024:
+            self.faults.append(f"{peak_kib} KiB resident, {self.options.memory_mb} MiB allowed")
+        latencies = sorted(self.latencies) or [0]
+        print(f"{self.options.play}: memory_mb {self.options.memory_mb}, peak {peak_kib} KiB ({idle_kib} KiB when "
+              f"ready), usual calls {self.outcomes}, median {1000 * latencies[len(latencies) // 2]:.1f} ms, "
+              f"longest {1000 * latencies[-1]:.0f} ms; load: {self.load_counts}")
+
+
+class LongValues(MemoryRehearsal):
+    """Every connection carries a long request with a long answer now and then."""
+
+    async def load_client(self, number):
+        reader, writer = await self.connect()
+        await asyncio.sleep(self.random.random())
+        while True:
+            ident, command = self.call(body=b"b" * LONG_BYTES)
+            writer.write(command)
+            line = await reader.readline()
+            self.count("values" if line.startswith(b"$") else "refused or failed")
+            if line.startswith(b"$"):
+                await reader.readexactly(int(line[1:]) + 2)
+            await asyncio.sleep(self.options.connections / LONG_CALLS_PER_SECOND)
+
+
+PLAYS = {"long-values": LongValues}
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("gateway", help="the program")
+    parser.add_argument("play", choices=PLAYS)
+    parser.add_argument("--memory-mb", type=int, default=32)
+    parser.add_argument("--sockets", type=int, default=1024)
+    parser.add_argument("--connections", type=int, default=300)
+    parser.add_argument("--listed-workers", type=int, default=10)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    rehearsal = PLAYS[options.play](options)
+    with tempfile.TemporaryDirectory() as directory:
+        try:
+            loop = asyncio.new_event_loop()
+            loop.set_exception_handler(lambda *_: None)  # servers that are cut off at the end
+            loop.run_until_complete(rehearsal.play(directory))
+        finally:
+            if getattr(rehearsal, "process", None) and rehearsal.process.poll() is None:
+                rehearsal.process.kill()
+    for fault in rehearsal.faults[:10]:
+        print(fault)
+    if rehearsal.faults:
+        print(f"{len(rehearsal.faults)} faults")
+    sys.stdout.flush()
+    os._exit(1 if rehearsal.faults else 0)  # without the ends of the connections that are left
+
+
+if __name__ == "__main__":
+    main()
