No try begins for a client that has left behind input that was not read

The end of a connection was noticed by reading to it only: not in a pause, not after a bad command, and late where input lies before the end.

The system is now asked whether the client has left (poll with POLLRDHUP) right before a request is written to a worker, and every 20 ms for connections that are not read from.

--- a/src/net/client_connections.cpp
+++ b/src/net/client_connections.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t kSmallIncompleteCommandBytes = 1024;
 
 constexpr Duration kCleanupInterval = milliseconds(250);
+/// Connections that are not read from are checked this often for clients that have left. Nothing may be sent
+/// for a client from 100 ms after it has closed its connection on.
+constexpr Duration kDepartureCheckInterval = milliseconds(20);
 /// How long a connection may go without a first valid command, and how long a command may stay incomplete.
 constexpr Duration kCommandTimeout = milliseconds(2000);
 /// How long a client has to fetch a protocol error, or to close its side in a planned stop, before the
@@ -374,6 +377,7 @@
 
 void ClientConnections::flush() {
     while (incompleteCommandBytes_ > context_.limits.maxBufferedBytesPerKind) endOldestIncompleteCommand();
+    closeDepartedClients(context_.clock.now());
     updateReadPauses();
     // Reading that resumes may add answers at once.
     while (!unflushedConnections_.empty()) {
@@ -400,6 +404,24 @@
     }
 }
 
+bool ClientConnections::isClientPresent(ClientId id) {
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) return false;
+    if (!found->second->tcp->hasPeerLeft()) return true;
+    closeConnection(id);
+    return false;
+}
+
+/// Closes connections that are not read from and whose clients have left, which reading would show otherwise.
+void ClientConnections::closeDepartedClients(Timestamp now) {
+    if (now - departuresCheckedAt_ < kDepartureCheckInterval) return;
+    departuresCheckedAt_ = now;
+    std::vector<ClientId> unread;
+    for (const auto &[id, connection] : connections_)
+        if (connection->isReadPaused || connection->isEnding) unread.push_back(id);
+    for (const ClientId id : unread) isClientPresent(id);
+}
+
 /// Gives up the command that has been incomplete for longest, to free memory for the others. Its connection
 /// is closed, but not before the client has the answers to its earlier commands.
 void ClientConnections::endOldestIncompleteCommand() {
--- a/src/net/client_connections.hpp
+++ b/src/net/client_connections.hpp
@@ -31,6 +31,9 @@
     /// The same for the value that a worker gave. If there is no memory for it, the call is answered as
     /// errored.
     void sendProxiedAnswer(const PendingCall &call, std::string_view value);
+    /// Whether a client is still there. Closes its connection, and reports its calls as abandoned, if it has
+    /// left and that is behind input that was not read yet. Not to be called while input is being handled.
+    bool isClientPresent(ClientId id);
     /// Sends all answers that are due and enforces the limits on memory.
     void flush();
     /// Begins a planned stop: for a while new clients are still accepted, then each connection is closed as
@@ -56,6 +59,7 @@
     void endOldestIncompleteCommand();
     void flushConnection(Connection &connection);
     void updateReadPauses();
+    void closeDepartedClients(Timestamp now);
     void handleCommand(Connection &connection, const resp::Command &command);
     void closeConnection(ClientId id);
     void continuePlannedStop();
@@ -80,6 +84,7 @@
     Timestamp stopStartedAt_{};
     Timestamp lastOwedAt_{};  ///< at the end of a planned stop: when answers were last waited for
     Timestamp lastAcceptedAt_{};
+    Timestamp departuresCheckedAt_{};  ///< when closeDepartedClients() last looked
 };
 
 }  // namespace arrowstile
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -37,6 +37,11 @@
           [this](CallId call) {
               const PendingCall *pending = pendingCalls_.find(call);
               return pending != nullptr ? &pending->call : nullptr;
+          },
+          [this](CallId call) {
+              const PendingCall *pending = pendingCalls_.find(call);
+              const bool isWanted = pending != nullptr && clients_.isClientPresent(pending->client);
+              return isWanted ? &pending->call : nullptr;
           }),
       counter_(context_),
       discovery_(context_,
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -1,5 +1,6 @@
 #include "tcp_connection.hpp"
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -212,6 +213,12 @@
            (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool TcpConnection::hasPeerLeft() const {
+    pollfd polled{-1, POLLRDHUP, 0};
+    if (uv_fileno(reinterpret_cast<const uv_handle_t *>(&tcp_), &polled.fd) != 0) return true;
+    return ::poll(&polled, 1, 0) > 0 && (polled.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void TcpConnection::setReadPaused(bool paused) {
     if (!isOpen_ || isClosed_) return;
     const auto handle = reinterpret_cast<uv_stream_t *>(&tcp_);
--- a/src/net/worker_connections.cpp
+++ b/src/net/worker_connections.cpp
@@ -91,10 +91,12 @@
     bool hasReceivedSinceIdle = true;  ///< true also until the first reply
 };
 
-WorkerConnections::WorkerConnections(ServerContext &context, AnswerCallback onAnswer, FindCall findCall)
+WorkerConnections::WorkerConnections(ServerContext &context, AnswerCallback onAnswer, FindCall findCall,
+                                     FindCall findCallToSend)
     : context_(context),
       onAnswer_(std::move(onAnswer)),
       findCall_(std::move(findCall)),
+      findCallToSend_(std::move(findCallToSend)),
       idleTimeout_(context.startDocument.settings.workerIdleTimeout / kIdleTimeoutDivisor) {
     context_.timers.schedule(context_.clock.now() + kCleanupInterval, [this] { cleanUp(); });
 }
@@ -254,7 +256,7 @@
 std::string WorkerConnections::commandOf(const Connection &connection, const InFlightRequest &request) const {
     if (!isUsable(connection)) return {};
     if (request.isProbe) return probeCommand();
-    const ApiCall *call = findCall_(request.call);
+    const ApiCall *call = findCallToSend_(request.call);
     const Duration timeLeft = request.deadline - context_.clock.now();
     std::string command;
     if (call != nullptr && timeLeft > Duration{}) call->appendCommand(command, timeLeft);
--- a/src/net/worker_connections.hpp
+++ b/src/net/worker_connections.hpp
@@ -29,7 +29,10 @@
     /// Returns a pending call; nullptr if it has its final answer or its client has gone.
     using FindCall = std::function<const ApiCall *(CallId)>;
 
-    WorkerConnections(ServerContext &context, AnswerCallback onAnswer, FindCall findCall);
+    /// `findCallToSend` is asked right before a request is written, and is nullptr also for a call whose
+    /// client has gone without that having been read yet.
+    WorkerConnections(ServerContext &context, AnswerCallback onAnswer, FindCall findCall,
+                      FindCall findCallToSend);
     ~WorkerConnections();
 
     /// Applies a change of discovery's list. Closes the idle connections to workers that are no longer ready,
@@ -82,6 +85,7 @@
     ServerContext &context_;
     AnswerCallback onAnswer_;
     FindCall findCall_;
+    FindCall findCallToSend_;
     std::map<WorkerId, ConnectionPool> pools_;
     std::set<Connection *> unflushedConnections_;
     std::size_t connectionCount_ = 0;
--- a/tests/test_gateway_isolation.cpp
+++ b/tests/test_gateway_isolation.cpp
@@ -2,6 +2,8 @@
 /// Tests of a whole gateway over real sockets: what one client or worker does, or leaves undone, must not
 /// reach the calls of others.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <pthread.h>
+
 #include "worker_stand_in.hpp"
 
 using namespace arrowstile;
@@ -12,6 +14,8 @@
 /// With this many sockets a gateway has at most 8 connections to workers.
 constexpr int kSocketsForEightTries = 48;
 
+constexpr const char *kPing = "*1\r\n$4\r\nPING\r\n";
+
 /// Ids of calls that a WorkerStandIn leaves without an answer until release().
 std::vector<std::string> heldRequestIds(int count) {
     std::vector<std::string> ids;
@@ -98,3 +102,54 @@
     };
     CHECK(commandCount() > 2);  // two connections were free
 }
+
+// Guards against tries for a client that has closed its connection while it is not read from.
+TEST_CASE("issue 44: no try begins for a client that has left while its commands wait to be read") {
+    GatewayFixture fixture;
+    Socket client = fixture.makeReadyAndConnect();
+    std::string commands = apiCall("status", 1000);
+    for (int remaining = 600; remaining > 0; --remaining) commands += kPing;
+    client.write(commands);
+    const Socket workerConnection = fixture.workerListener.accept();
+    CHECK(workerConnection.read(kCallEnd).find("Q.ASK") != std::string::npos);
+    std::this_thread::sleep_for(milliseconds(50));
+    client.close();
+    std::this_thread::sleep_for(milliseconds(100));
+    workerConnection.write("-ERR failed\r\n");
+    CHECK(workerConnection.read(kCallEnd, milliseconds(300)).find("Q.ASK") == std::string::npos);
+    CHECK_FALSE(fixture.workerListener.waitReadable(milliseconds(100)));
+}
+
+// Guards against the same behind a command that is malformed, after which nothing more is read.
+TEST_CASE("issue 44: no try begins for a client that has left after a bad command") {
+    GatewayFixture fixture;
+    Socket client = fixture.makeReadyAndConnect();
+    client.write(apiCall("status", 1000) + "nonsense\r\n");
+    const Socket workerConnection = fixture.workerListener.accept();
+    CHECK(workerConnection.read(kCallEnd).find("Q.ASK") != std::string::npos);
+    client.close();
+    std::this_thread::sleep_for(milliseconds(100));
+    workerConnection.write("-ERR failed\r\n");
+    CHECK(workerConnection.read(kCallEnd, milliseconds(300)).find("Q.ASK") == std::string::npos);
+    CHECK_FALSE(fixture.workerListener.waitReadable(milliseconds(100)));
+}
+
+// Guards against commands being sent on that are read after their client has closed the connection behind
+// them.
+TEST_CASE("issue 44: commands that are read after their client has left are not sent on") {
+    GatewayFixture fixture;
+    Socket client = fixture.makeReadyAndConnect();
+    client.write(apiCall("status", 1000));
+    const Socket workerConnection = fixture.workerListener.accept();
+    workerConnection.read(kCallEnd);
+    workerConnection.write(kProxiedReply);
+    CHECK(client.read("hi\r\n") == "$2\r\nhi\r\n");
+    // The connection to the worker is idle now, so that a command could be sent at once.
+    std::signal(SIGUSR2, [](int) { ::usleep(150000); });
+    ::pthread_kill(fixture.gatewayThread.native_handle(), SIGUSR2);
+    std::this_thread::sleep_for(milliseconds(10));
+    client.write(apiCall("dispatch", 1000));
+    client.close();
+    CHECK(workerConnection.read(kCallEnd, milliseconds(400)).find("Q.") == std::string::npos);
+    CHECK_FALSE(fixture.workerListener.waitReadable(milliseconds(0)));
+}
