Connections are closed only when the client's machine has all answers

A connection counted as idle when the system had taken its answers; the close 300 ms after its shutdown, over what the client had sent meanwhile, dropped what the system held.

Answers now count as owed until the client's machine has confirmed them (SIOCOUTQ), in the planned stop, when a connection is closed for another client, and at the end after an error.

--- a/src/net/client_connections.cpp
+++ b/src/net/client_connections.cpp
@@ -17,7 +17,7 @@
 constexpr Duration kCleanupInterval = milliseconds(250);
 /// Connections that are not read from are checked this often for clients that have left. Nothing may be sent
 /// for a client from 100 ms after it has closed its connection on.
-constexpr Duration kDepartureCheckInterval = milliseconds(20);
+constexpr Duration kUnreadCheckInterval = milliseconds(20);
 /// How long a connection may go without a first valid command, and how long a command may stay incomplete.
 constexpr Duration kCommandTimeout = milliseconds(2000);
 /// How long a client has to fetch a protocol error, or to close its side in a planned stop, before the
@@ -40,11 +40,25 @@
 // may wait for longer, so calls can still be pending kStopMargin after the timeout. They are answered then.
 constexpr Duration kMaxClientTimeout = milliseconds(3000);
 constexpr Duration kStopMargin = milliseconds(550);
-/// How long clients have to fetch the last answers once the system has taken them.
+/// How long clients have to fetch the last answers once their machines have them.
 constexpr Duration kFinalAnswerPeriod = milliseconds(60);
 /// How long the stop waits for a client that takes none of the answers that are ready for it.
 constexpr Duration kFinalFetchTimeout = milliseconds(1000);
 
+/// Tells for how long a transfer has made no progress.
+class TransferProgress {
+public:
+    /// To be called periodically, with the bytes that are left now and those that are done in all.
+    Duration timeWithoutProgress(Timestamp now, std::uint64_t leftBytes, std::uint64_t doneBytes) {
+        if (leftBytes == 0 || std::exchange(lastDoneBytes_, doneBytes) != doneBytes) lastProgressAt_ = now;
+        return now - lastProgressAt_;
+    }
+
+private:
+    Timestamp lastProgressAt_{};  ///< when something was last done, or nothing was left
+    std::uint64_t lastDoneBytes_ = 0;
+};
+
 }  // namespace
 
 /// A client's connection, with the order of its answers and the limits on its input and output.
@@ -113,8 +127,11 @@
                now - lastActiveAt > kCommandTimeout;
     }
 
-    /// Whether the client has answers to come, or to fetch.
-    bool isOwedAnswers() const { return answerQueue.pendingCount() > 0 || tcp->unsentBytes() > 0; }
+    /// Whether the client has answers to come, or to fetch. Those that the system has taken and the client's
+    /// machine has not confirmed count too: a close drops them if the client has sent more meanwhile.
+    bool isOwedAnswers() const {
+        return answerQueue.pendingCount() > 0 || tcp->unsentBytes() > 0 || tcp->unconfirmedBytes() > 0;
+    }
 
     /// Whether an answer to come is still missing, or was not handed over for another reason than that the
     /// client has not fetched what is before it.
@@ -122,10 +139,15 @@
 
     /// For how long the system has taken nothing of the answers that are ready. Called periodically.
     Duration timeWithoutProgress(Timestamp now) {
-        const std::uint64_t sentBytes = tcp->sentBytes();
-        if (tcp->unsentBytes() == 0 || std::exchange(lastSentBytes, sentBytes) != sentBytes)
-            lastProgressAt = now;
-        return now - lastProgressAt;
+        return sendProgress.timeWithoutProgress(now, tcp->unsentBytes(), tcp->sentBytes());
+    }
+
+    /// For how long the client's machine has confirmed nothing of the answers that are ready. Called
+    /// periodically.
+    Duration timeWithoutFetching(Timestamp now) {
+        const std::uint64_t unconfirmedBytes = tcp->unconfirmedBytes();
+        return fetchProgress.timeWithoutProgress(now, tcp->unsentBytes() + unconfirmedBytes,
+                                                 tcp->sentBytes() - unconfirmedBytes);
     }
 
     void onOutputSent() override { owner.unflushedConnections_.insert(id); }
@@ -216,9 +238,9 @@
     /// Until all input was read once, and after a pause in reading until all of it was read again: the
     /// earliest time at which input may have arrived. Otherwise Timestamp::max().
     Timestamp unreadSince;
-    Timestamp lastProgressAt{};       ///< when the system last took output, or there was none
-    std::uint64_t lastSentBytes = 0;  ///< of the output, as of lastProgressAt
-    AnswerUsage countedUsage;         ///< as last passed to the memory that all connections share
+    TransferProgress sendProgress;   ///< of output that the system takes
+    TransferProgress fetchProgress;  ///< of output that the client's machine confirms
+    AnswerUsage countedUsage;        ///< as last passed to the memory that all connections share
     std::size_t incompleteCommandBytes = 0;
     bool hasBeenRead = false;     ///< something has been received
     bool hasSentCommand = false;  ///< a valid one
@@ -260,11 +282,12 @@
         const Connection &connection = *candidate->second;
         const bool onlyNonCalling = scope == EvictionScope::nonCalling;
         if (scope != EvictionScope::all && connection.isNonCalling != onlyNonCalling) continue;
-        if (onlyNonCalling ? connection.isAwaitingAnswer() : !connection.isIdle()) continue;
         const bool isLongerIdle =
             longestIdle == connections_.end() || connection.lastActiveAt < longestIdle->second->lastActiveAt;
+        if (!isLongerIdle) continue;
+        if (onlyNonCalling ? connection.isAwaitingAnswer() : !connection.isIdle()) continue;
         const bool isKeptIfUnread = !onlyNonCalling || !connection.hasBeenRead;
-        if (isLongerIdle && !(isKeptIfUnread && connection.tcp->hasUnreadInput())) longestIdle = candidate;
+        if (!(isKeptIfUnread && connection.tcp->hasUnreadInput())) longestIdle = candidate;
     }
     if (longestIdle == connections_.end()) return false;
     ++context_.metrics.clientsEvicted;
@@ -377,7 +400,7 @@
 
 void ClientConnections::flush() {
     while (incompleteCommandBytes_ > context_.limits.maxBufferedBytesPerKind) endOldestIncompleteCommand();
-    closeDepartedClients(context_.clock.now());
+    checkUnreadConnections(context_.clock.now());
     updateReadPauses();
     // Reading that resumes may add answers at once.
     while (!unflushedConnections_.empty()) {
@@ -412,14 +435,20 @@
     return false;
 }
 
-/// Closes connections that are not read from and whose clients have left, which reading would show otherwise.
-void ClientConnections::closeDepartedClients(Timestamp now) {
-    if (now - departuresCheckedAt_ < kDepartureCheckInterval) return;
-    departuresCheckedAt_ = now;
+/// Runs every kUnreadCheckInterval over the connections that are not read from: closes those whose clients
+/// have left, which reading would show otherwise, and ends those whose clients have fetched their last
+/// answer.
+void ClientConnections::checkUnreadConnections(Timestamp now) {
+    if (now - unreadCheckedAt_ < kUnreadCheckInterval) return;
+    unreadCheckedAt_ = now;
     std::vector<ClientId> unread;
     for (const auto &[id, connection] : connections_)
         if (connection->isReadPaused || connection->isEnding) unread.push_back(id);
-    for (const ClientId id : unread) isClientPresent(id);
+    for (const ClientId id : unread) {
+        if (!isClientPresent(id)) continue;
+        Connection &connection = *connections_.at(id);
+        if (connection.isEnding && !connection.isOwedAnswers()) connection.shutdownWrite(now);
+    }
 }
 
 /// Gives up the command that has been incomplete for longest, to free memory for the others. Its connection
@@ -463,12 +492,12 @@
     }
 }
 
-/// Closes all connections once every answer was handed to the system and clients had kFinalAnswerPeriod to
+/// Closes all connections once the clients' machines have every answer, and clients had kFinalAnswerPeriod to
 /// fetch the last of them. A client that takes nothing for kFinalFetchTimeout is not waited for.
 void ClientConnections::closeAnsweredConnections(Timestamp now) {
     const bool isFetching = std::ranges::any_of(connections_, [now](const auto &entry) {
         Connection &connection = *entry.second;
-        return connection.isOwedAnswers() && connection.timeWithoutProgress(now) <= kFinalFetchTimeout;
+        return connection.timeWithoutFetching(now) <= kFinalFetchTimeout && connection.isOwedAnswers();
     });
     if (isFetching) lastOwedAt_ = now;
     if (now - lastOwedAt_ <= kFinalAnswerPeriod) return;
--- a/src/net/client_connections.hpp
+++ b/src/net/client_connections.hpp
@@ -59,7 +59,7 @@
     void endOldestIncompleteCommand();
     void flushConnection(Connection &connection);
     void updateReadPauses();
-    void closeDepartedClients(Timestamp now);
+    void checkUnreadConnections(Timestamp now);
     void handleCommand(Connection &connection, const resp::Command &command);
     void closeConnection(ClientId id);
     void continuePlannedStop();
@@ -84,7 +84,7 @@
     Timestamp stopStartedAt_{};
     Timestamp lastOwedAt_{};  ///< at the end of a planned stop: when answers were last waited for
     Timestamp lastAcceptedAt_{};
-    Timestamp departuresCheckedAt_{};  ///< when closeDepartedClients() last looked
+    Timestamp unreadCheckedAt_{};  ///< when checkUnreadConnections() last looked
 };
 
 }  // namespace arrowstile
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -1,6 +1,8 @@
 #include "tcp_connection.hpp"
 
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -203,6 +205,13 @@
     return sentBytes_ + outputBeingWritten_.size() - uv_stream_get_write_queue_size(handle);
 }
 
+std::size_t TcpConnection::unconfirmedBytes() const {
+    uv_os_fd_t descriptor;
+    int bytes = 0;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t *>(&tcp_), &descriptor) != 0) return 0;
+    return ::ioctl(descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 void TcpConnection::discardInput() { freeMemory(unconsumedInput_); }
 
 bool TcpConnection::hasUnreadInput() const {
--- a/src/net/tcp_connection.hpp
+++ b/src/net/tcp_connection.hpp
@@ -92,6 +92,9 @@
     std::size_t unsentBytes() const { return queuedOutput_.size() + outputBeingWritten_.size(); }
     /// Bytes handed to the system since the connection was made.
     std::uint64_t sentBytes() const;
+    /// Those of them that the peer's machine has not confirmed. A close with unread input drops them. 0 if
+    /// the system does not tell.
+    std::size_t unconfirmedBytes() const;
 
 private:
     TcpConnection(uv_loop_t *loop, Handler *handler);
--- a/tests/gateway_fixture.hpp
+++ b/tests/gateway_fixture.hpp
@@ -225,7 +225,7 @@
         CHECK(discoveryConnection.read(kHttpHeaderEnd).find("since=2") != std::string::npos);
     }
     /// Returns a new connection to the gateway. A failure ends the test case.
-    Socket connectClient() {
+    Socket connectClient() const {
         Socket connection = Socket::connect(gatewayPort);
         REQUIRE(connection.isOpen());
         return connection;
--- a/tests/test_gateway_answers.cpp
+++ b/tests/test_gateway_answers.cpp
@@ -311,3 +311,70 @@
         CHECK(answers.next() == "<closed>");
     }
 }
+
+namespace {
+
+/// Clients that have sent 1, 2, 3 and so on calls with long answers and have read nothing yet. How much the
+/// buffers of the system take is not known, so they await different amounts.
+std::vector<Socket> clientsWithUnreadAnswers(const GatewayFixture &fixture, int clientCount) {
+    std::vector<Socket> clients;
+    for (int index = 0; index < clientCount; ++index) {
+        clients.push_back(fixture.connectClient());
+        clients.back().limitReceiveBuffer(32 * 1024);
+        for (int call = 0; call <= index; ++call) {
+            const std::string id = "a" + std::to_string(index) + "x" + std::to_string(call);
+            clients.back().write(apiCall("status", 1000, id.c_str()));
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+    }
+    std::this_thread::sleep_for(milliseconds(200));
+    return clients;
+}
+
+/// Reads the answers to the calls of clientsWithUnreadAnswers().
+void checkUnreadAnswers(const std::vector<Socket> &clients) {
+    for (std::size_t index = 0; index < clients.size(); ++index) {
+        AnswerReader answers(clients[index]);
+        for (std::size_t call = 0; call <= index; ++call) {
+            CAPTURE(index);
+            CAPTURE(call);
+            const std::string id = "a" + std::to_string(index) + "x" + std::to_string(call);
+            CHECK(answers.next() == "value of " + id);
+        }
+    }
+}
+
+}  // namespace
+
+// Guards against a planned stop that closes a connection while its answers are still on their way to a client
+// that reads slowly: what the client sends meanwhile resets the connection.
+TEST_CASE("issue 44: a planned stop closes no connection before the client's machine has the answers") {
+    GatewayFixture fixture({.memoryMb = 192});
+    fixture.makeReadyAndConnect();
+    WorkerStandIn worker(fixture.workerListener, kLongValueBytes);
+    const std::vector<Socket> clients = clientsWithUnreadAnswers(fixture, 8);
+    fixture.beginStop();
+    const auto stopBegunAt = std::chrono::steady_clock::now();
+    for (const int afterMs : {600, 900, 1200}) {
+        std::this_thread::sleep_until(stopBegunAt + milliseconds(afterMs));
+        for (const Socket &client : clients) client.write(kPing);
+    }
+    checkUnreadAnswers(clients);
+}
+
+// Guards against the same where a connection is closed for another client.
+TEST_CASE("issue 44: a client that fetches its answers slowly is not closed for a crowd") {
+    GatewayFixture fixture({.maxSockets = 96, .memoryMb = 192});
+    fixture.makeReadyAndConnect();
+    WorkerStandIn worker(fixture.workerListener, kLongValueBytes);
+    const std::vector<Socket> clients = clientsWithUnreadAnswers(fixture, 8);
+    std::vector<Socket> crowd;
+    for (int remaining = 30; remaining > 0; --remaining) {
+        crowd.push_back(fixture.connectClient());
+        crowd.back().write(apiCall("status", 1000));
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    for (const Socket &client : clients) client.write(kPing);
+    std::this_thread::sleep_for(milliseconds(100));
+    checkUnreadAnswers(clients);
+}
