A planned stop waits for confirmations and for fetching at the same time

The 60 ms count from when the system took the last answer again, and the confirmations are waited for beside them.

--- a/src/net/client_connections.cpp
+++ b/src/net/client_connections.cpp
@@ -40,7 +40,7 @@
 // may wait for longer, so calls can still be pending kStopMargin after the timeout. They are answered then.
 constexpr Duration kMaxClientTimeout = milliseconds(3000);
 constexpr Duration kStopMargin = milliseconds(550);
-/// How long clients have to fetch the last answers once their machines have them.
+/// How long clients have to fetch the last answers once the system has taken them.
 constexpr Duration kFinalAnswerPeriod = milliseconds(60);
 /// How long the stop waits for a client that takes none of the answers that are ready for it.
 constexpr Duration kFinalFetchTimeout = milliseconds(1000);
@@ -129,9 +129,10 @@
 
     /// Whether the client has answers to come, or to fetch. Those that the system has taken and the client's
     /// machine has not confirmed count too: a close drops them if the client has sent more meanwhile.
-    bool isOwedAnswers() const {
-        return answerQueue.pendingCount() > 0 || tcp->unsentBytes() > 0 || tcp->unconfirmedBytes() > 0;
-    }
+    bool isOwedAnswers() const { return hasAnswersToSend() || tcp->unconfirmedBytes() > 0; }
+
+    /// Whether the system has not taken all answers yet.
+    bool hasAnswersToSend() const { return answerQueue.pendingCount() > 0 || tcp->unsentBytes() > 0; }
 
     /// Whether an answer to come is still missing, or was not handed over for another reason than that the
     /// client has not fetched what is before it.
@@ -492,15 +493,17 @@
     }
 }
 
-/// Closes all connections once the clients' machines have every answer, and clients had kFinalAnswerPeriod to
-/// fetch the last of them. A client that takes nothing for kFinalFetchTimeout is not waited for.
+/// Closes all connections kFinalAnswerPeriod after the last answer was handed to the system, and not before
+/// the clients' machines have confirmed them. A client that takes nothing for kFinalFetchTimeout is not
+/// waited for.
 void ClientConnections::closeAnsweredConnections(Timestamp now) {
-    const bool isFetching = std::ranges::any_of(connections_, [now](const auto &entry) {
-        Connection &connection = *entry.second;
-        return connection.timeWithoutFetching(now) <= kFinalFetchTimeout && connection.isOwedAnswers();
-    });
-    if (isFetching) lastOwedAt_ = now;
-    if (now - lastOwedAt_ <= kFinalAnswerPeriod) return;
+    bool isConfirming = false;
+    for (const auto &[id, connection] : connections_) {
+        if (connection->timeWithoutFetching(now) > kFinalFetchTimeout) continue;
+        if (connection->hasAnswersToSend()) lastOwedAt_ = now;
+        isConfirming = isConfirming || connection->isOwedAnswers();
+    }
+    if (isConfirming || now - lastOwedAt_ <= kFinalAnswerPeriod) return;
     closeListener();
     connections_.clear();
 }
