All texts of a pending call count towards the bound on memory, not its body only

The pool for pending calls counted their bodies; the fields, as long and kept as long, were in no bound.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets for development. README.md lists what they need.
 JOBS ?= 4
-MEMORY_PLAYS = long-values
+MEMORY_PLAYS = long-values slow-writers half-requests request-and-byte many-fields
 
 .PHONY: build lab test memory soak lint run clean
 
@@ -21,7 +21,7 @@
 # Plays traffic that takes up memory, and checks that the process keeps its limit. Needs a build without sanitizers.
 memory: build
 	for play in $(MEMORY_PLAYS); do \
-		python3 tests/rehearsal/memory_bounds.py build/arrowstile $$play --connections 240 || exit 1; \
+		python3 tests/rehearsal/memory_bounds.py build/arrowstile $$play || exit 1; \
 	done
 	for limit in 32 64 192; do \
 		python3 tests/rehearsal/long_answers.py build/arrowstile --memory-mb $$limit || exit 1; \
--- a/src/net/client_connections.cpp
+++ b/src/net/client_connections.cpp
@@ -345,7 +345,7 @@
         auto error = parseApiCall(command, context_.startDocument.settings, call);
         if (error.empty() && pendingCalls_.hasRequestId(call.requestId)) error = "this id is open";
         if (error.empty() &&
-            pendingCalls_.bodyBytes() + call.body.size() > context_.limits.maxBufferedBytesPerKind) {
+            pendingCalls_.textBytes() + call.textBytes() > context_.limits.maxBufferedBytesPerKind) {
             ++context_.metrics.callsRateLimited;
             connection.queueAnswer(encodeRateLimitedAnswer(std::nullopt));
             return;
--- a/src/net/core/api_call.cpp
+++ b/src/net/core/api_call.cpp
@@ -100,6 +100,11 @@
     return {};
 }
 
+std::size_t ApiCall::textBytes() const {
+    return commandName.size() + customerHex.size() + requestId.size() + fieldsBeforeTimeout.size() +
+           fieldsAfterTimeout.size() + body.size();
+}
+
 void ApiCall::appendCommand(std::string &out, Duration timeout) const {
     resp::appendArrayHeader(out, hasBody ? 5 : 4);
     resp::appendBulk(out, commandName);
--- a/src/net/core/api_call.hpp
+++ b/src/net/core/api_call.hpp
@@ -35,6 +35,8 @@
     std::string body;
     bool hasBody = false;  ///< false: sent without a body argument; an empty body is sent as one
 
+    /// Memory that the texts of the call take up.
+    std::size_t textBytes() const;
     /// Appends the command for a worker to `out`. `timeout` is how long this gateway waits for the worker's
     /// reply; it becomes the value of `d`, in whole milliseconds, rounded down, at least 1.
     void appendCommand(std::string &out, Duration timeout) const;
--- a/src/net/core/pending_calls.cpp
+++ b/src/net/core/pending_calls.cpp
@@ -32,7 +32,7 @@
 CallId PendingCallTable::add(ApiCall call, ClientId client, AnswerSlot slot) {
     const CallId id{++lastId_};
     call.event.call = id;
-    bodyBytes_ += call.body.size();
+    textBytes_ += call.textBytes();
     requestIds_.insert(call.requestId);
     calls_.emplace(id, PendingCall{std::move(call), client, slot, 0});
     callsByClient_[client].insert(id);
@@ -49,7 +49,7 @@
     if (found == calls_.end()) return std::nullopt;
     PendingCall removed = std::move(found->second);
     calls_.erase(found);
-    bodyBytes_ -= removed.call.body.size();
+    textBytes_ -= removed.call.textBytes();
     requestIds_.erase(removed.call.requestId);
     const auto ofClient = callsByClient_.find(removed.client);
     ofClient->second.erase(id);
--- a/src/net/core/pending_calls.hpp
+++ b/src/net/core/pending_calls.hpp
@@ -74,15 +74,15 @@
     /// The pending calls of a client in order of arrival.
     std::vector<CallId> callsOf(ClientId client) const;
     std::size_t size() const { return calls_.size(); }
-    /// Total size of the calls' bodies, which are kept for further tries.
-    std::size_t bodyBytes() const { return bodyBytes_; }
+    /// Total size of the calls' texts, which are kept for further tries.
+    std::size_t textBytes() const { return textBytes_; }
 
 private:
     std::map<CallId, PendingCall> calls_;
     std::map<ClientId, std::set<CallId>> callsByClient_;
     std::set<std::string> requestIds_;
     std::uint64_t lastId_ = 0;
-    std::size_t bodyBytes_ = 0;
+    std::size_t textBytes_ = 0;
 };
 
 /// Encodes the final answer "proxied": `value` is the value from the worker's reply.
--- a/src/net/core/resource_limits.hpp
+++ b/src/net/core/resource_limits.hpp
@@ -20,7 +20,7 @@
     std::size_t maxCallingClients;
     std::size_t maxWorkerConnections;
     std::size_t maxCounterConnections;
-    /// Total bytes over all connections, separately for each of these kinds: bodies of pending calls,
+    /// Total bytes over all connections, separately for each of these kinds: texts of pending calls,
     /// incomplete commands, incomplete replies of workers.
     std::size_t maxBufferedBytesPerKind;
     /// Total bytes of answers that wait for an earlier one or for their clients, with the calls in progress.
--- a/tests/rehearsal/memory_bounds.py
+++ b/tests/rehearsal/memory_bounds.py
@@ -11,6 +11,8 @@
 import asyncio
 import os
 import random
+import select
+import socket
 import sys
 import tempfile
 import time
@@ -23,17 +25,21 @@
 USUAL_CALL_EVERY_S = 0.05
 WORK_S = 0.02
 LONG_CALLS_PER_SECOND = 100
+SLOW_PIECE_BYTES = 2000
+SLOW_PIECE_EVERY_S = 0.05
+FIELD_CALLS_AT_ONCE = 4
+BLOCK_COMMANDS = 2000
 
 
 class MemoryRehearsal(Rehearsal):
     """A play with `options.connections` connections of clients that take up memory."""
 
-    seconds = 10.0
 
     def __init__(self, options):
         super().__init__(options)
         self.random = random.Random(options.seed)
         self.latencies = []
+        self.seconds = options.seconds
         self.load_counts = {}
         self.load_writers = []
 
@@ -149,17 +155,146 @@
             await asyncio.sleep(self.options.connections / LONG_CALLS_PER_SECOND)
 
 
-PLAYS = {"long-values": LongValues}
+class SlowWriters(MemoryRehearsal):
+    """Every connection writes a long request in small pieces."""
+
+    async def load_client(self, number):
+        reader, writer = await self.connect()
+        while True:
+            _, command = self.call(body=b"b" * LONG_BYTES)
+            for begin in range(0, len(command), SLOW_PIECE_BYTES):
+                writer.write(command[begin:begin + SLOW_PIECE_BYTES])
+                await asyncio.sleep(SLOW_PIECE_EVERY_S)
+            self.count(f"answers {(await reader.readline())[:5]!r}")
+
+
+class HalfRequests(MemoryRehearsal):
+    """Every connection stops half way through a long request and stays; another follows when it is closed."""
+
+    async def load_client(self, number):
+        while True:
+            reader, writer = await self.connect()
+            _, command = self.call(body=b"b" * LONG_BYTES)
+            writer.write(command[:len(command) - 2000])
+            line = await reader.readline()
+            self.count(f"answers {line[:12]!r}")
+            writer.close()
+
+
+class RequestAndByte(MemoryRehearsal):
+    """Every connection sends a long request and the first byte of another."""
+
+    async def load_client(self, number):
+        while True:
+            reader, writer = await self.connect()
+            _, command = self.call(body=b"b" * LONG_BYTES)
+            writer.write(command + b"*")
+            while line := await reader.readline():
+                if line.startswith(b"$"):
+                    await reader.readexactly(int(line[1:]) + 2)
+                self.count(f"answers {line[:6]!r}")
+            writer.close()
+
+
+class ManyFields(MemoryRehearsal):
+    """Every connection sends requests with very many short fields, whose workers take a second."""
+
+    async def load_client(self, number):
+        fields = b",a=1" * (LONG_BYTES // 4 - 100)
+        reader, writer = await self.connect()
+        waiting = 0
+        while True:
+            for _ in range(FIELD_CALLS_AT_ONCE):
+                writer.write(self.call(more_fields=fields, customer=self.random.randrange(1 << 33))[1])
+                waiting += 1
+            while waiting > 0 and (line := await reader.readline()):
+                if line.startswith(b"$"):
+                    await reader.readexactly(int(line[1:]) + 2)
+                waiting -= 1
+                self.count(f"answers {line[:6]!r}")
+
+
+class Flood(MemoryRehearsal):
+    """One client, in a process of its own, sends as fast as it can for some seconds, on one connection."""
+
+    async def load_client(self, number):
+        if number > 0:
+            return
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, __file__, "flood", self.options.play, "--port", str(self.gateway_port), "--seconds",
+            str(self.seconds - 2), stdout=asyncio.subprocess.PIPE)
+        output, _ = await process.communicate()
+        self.load_counts = output.decode().strip()
+
+
+def flood_block(kind, block_number):
+    """Some thousand commands, different in each block where the kind says new names."""
+    if kind == "flood-ping":
+        return b"*1\r\n$4\r\nPING\r\n" * BLOCK_COMMANDS
+    if kind == "flood-info":
+        return b"*1\r\n$4\r\nINFO\r\n" * BLOCK_COMMANDS
+    first = block_number * BLOCK_COMMANDS
+    if kind == "flood-unknown":
+        return b"".join(b"*2\r\n$8\r\n%08x\r\n$1\r\nx\r\n" % (first + index) for index in range(BLOCK_COMMANDS))
+    commands = []
+    for index in range(first, first + BLOCK_COMMANDS):
+        plan = FLOOD_PLANS.get(kind) or (b"p%07x" % index if kind == "flood-new-plans" else None)
+        plan = plan or (b"basic", b"small", b"open", b"ceiling")[index % 4]
+        customer = b"%016x" % (index * 7919 % (1 << 33) if kind != "flood-new-ids" else 1)
+        if kind == "flood-bad-customers":
+            customer = b"%016x" % (index + (1 << 40))
+        fields = b"c=status,t=%s,d=4000,units=1,spread=1,first=0" % plan
+        commands.append(b"*4\r\n$5\r\nQ.ASK\r\n" + bulk(customer) + bulk(b"%016x" % (index + (1 << 48))) + bulk(fields))
+    return b"".join(commands)
+
+
+def run_flood(kind, port, seconds):
+    """Sends blocks and reads answers as fast as both sides can. Connects again if the connection ends."""
+    end, block_number, sent, received, ends = time.monotonic() + seconds, 0, 0, 0, 0
+    connection = None
+    while time.monotonic() < end:
+        if connection is None:
+            connection = socket.create_connection((HOST, port))
+            connection.setblocking(False)
+            rest = b""
+        if not rest:
+            rest = flood_block(kind, block_number)
+            block_number += 1
+        readable, writable, _ = select.select([connection], [connection], [], 0.1)
+        try:
+            if writable:
+                size = connection.send(rest)
+                rest, sent = rest[size:], sent + size
+            if readable:
+                data = connection.recv(1 << 20)
+                received += len(data)
+                if not data:
+                    raise ConnectionError
+        except BlockingIOError:
+            pass
+        except OSError:
+            connection, ends = None, ends + 1
+    print(f"{block_number} blocks of {BLOCK_COMMANDS} commands, {sent} bytes sent, {received} received, {ends} ends")
+
+
+FLOOD_PLANS = {"flood-open": b"open", "flood-quota": b"small", "flood-ceiling": b"ceiling"}
+FLOODS = ["flood-ping", "flood-info", "flood-unknown", "flood-bad-customers", "flood-new-plans", "flood-new-ids",
+          "flood-new-customers", *FLOOD_PLANS]
+PLAYS = {"long-values": LongValues, "slow-writers": SlowWriters, "half-requests": HalfRequests,
+         "request-and-byte": RequestAndByte, "many-fields": ManyFields, **{kind: Flood for kind in FLOODS}}
 
 
 def main():
+    if sys.argv[1] == "flood":
+        return run_flood(sys.argv[2], int(sys.argv[4]), float(sys.argv[6]))
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("gateway", help="the program")
     parser.add_argument("play", choices=PLAYS)
     parser.add_argument("--memory-mb", type=int, default=32)
     parser.add_argument("--sockets", type=int, default=1024)
-    parser.add_argument("--connections", type=int, default=300)
+    parser.add_argument("--connections", type=int, default=400)
     parser.add_argument("--listed-workers", type=int, default=10)
+    parser.add_argument("--seconds", type=float, default=8)
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
     rehearsal = PLAYS[options.play](options)
--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -261,7 +261,7 @@
     const CallId first = pendingCalls.add(call, {1}, {0});
     const CallId second = pendingCalls.add(call, {1}, {1});
     const CallId ofOtherClient = pendingCalls.add(call, {2}, {0});
-    CHECK(pendingCalls.bodyBytes() == 15);
+    CHECK(pendingCalls.textBytes() == 18);
     CHECK(pendingCalls.hasRequestId("a"));
     CHECK(pendingCalls.remove(first));
     CHECK(!pendingCalls.remove(first));
@@ -270,7 +270,7 @@
     CHECK(pendingCalls.removeAllOf({1}).empty());
     CHECK(pendingCalls.find(second) == nullptr);
     CHECK(pendingCalls.find(ofOtherClient) != nullptr);
-    CHECK((pendingCalls.size() == 1 && pendingCalls.bodyBytes() == 5));
+    CHECK((pendingCalls.size() == 1 && pendingCalls.textBytes() == 6));
     CHECK(encodeRateLimitedAnswer(std::nullopt) == "-BUSY\r\n");
     CHECK(encodeRateLimitedAnswer(Duration{1500}) == "-BUSY 2\r\n");
     CHECK(encodeErroredAnswer() == "-ERR failed\r\n");
