Customers that are remembered are bounded by the memory of the gateway

The engine kept each customer for two windows and for as long as its ceiling needs to fill, however many there were.

An eighth of the memory now bounds the customers with limits; those without are not kept. A new one takes the place of one that called once, or not for a window, and whose use the counter knows; else its call is rate-limited. When a share of a ceiling is forgotten before it is full, new entries start empty.

--- a/include/arrowstile/engine_settings.hpp
+++ b/include/arrowstile/engine_settings.hpp
@@ -96,6 +96,9 @@
     unsigned maxTries = 1;             ///< upstream tries per call, the first included
     /// Upstream tries of this gateway at once, which its connections bound. Not in the settings object.
     std::size_t maxTriesInFlight = std::numeric_limits<std::size_t>::max();
+    /// Customers with limits that are remembered, which this gateway's memory bounds. Not in the settings
+    /// object.
+    std::size_t maxCustomers = std::numeric_limits<std::size_t>::max();
     Duration maxRetryAfter{};   ///< longest retry-after time in a rate-limited answer
     Duration connectTimeout{};  ///< for connecting to a worker, and for a probe
 
--- a/src/decision_engine.cpp
+++ b/src/decision_engine.cpp
@@ -78,6 +78,9 @@
 /// Maximum number of customers in the report queue that a tick examines.
 constexpr std::size_t kMaxQueueChecksPerTick = 64;
 
+/// Number of customers that are examined to find one that gives way to another.
+constexpr std::size_t kEvictionSampleCount = 32;
+
 // Load balancing.
 
 /// Number of healthy warm workers that a gateway uses at least, if there are as many.
@@ -243,7 +246,7 @@
     }
 };
 
-/// A customer with a recent call.
+/// A customer with a recent call. kCustomerBytes (resource_limits.cpp) follows its size.
 struct Customer {
     PlanId plan;
     unsigned subsetSize = 1;  ///< gateways over which the customer's calls are spread
@@ -252,8 +255,8 @@
     Timestamp capReachedAt{};          ///< when the open cap was last found reached; zero: never
     Timestamp openSharePausedUntil{};  ///< openCapShare() is zero until then
     /// Calls held until the counter has counted their tries against the open cap, oldest first.
-    std::deque<CallId> heldCalls;
-    std::deque<CallId> callsAwaitingTotals;  ///< calls that wait for the customer's first totals
+    std::vector<CallId> heldCalls;
+    std::vector<CallId> callsAwaitingTotals;  ///< calls that wait for the customer's first totals
     /// Number of heldCalls, from the front, whose tries the request in flight counts.
     std::size_t heldInRequest = 0;
     bool hasTotals = false;  ///< a total of units was received
@@ -268,6 +271,7 @@
     double ceilingLevel = 0;  ///< units in this gateway's share of the ceiling's bucket
     Timestamp bucketUpdatedAt{}, ceilingUpdatedAt{};
     Timestamp lastCallAt{};
+    bool hasReturned = false;  ///< has made more than one call
 };
 
 /// A call that has no final answer yet, or whose try is still in flight.
@@ -309,7 +313,8 @@
     std::vector<Worker *> readyWorkers;   ///< all ready workers, in this gateway's fixed order of preference
     std::vector<Worker *> rankedWorkers;  ///< those that this gateway uses at present, best first
     std::map<CallId, Call> calls;
-    std::map<CustomerId, Customer> customers;
+    std::map<CustomerId, Customer> customers;  ///< those with limits
+    Customer customerWithoutLimits;            ///< stands in for all others
     /// Requests to the counter in flight, with the customer, kind and window of the count.
     std::map<CountName, std::tuple<CustomerId, CountKind, std::int64_t>> counterRequests;
     /// Calls without a try that wait for a usable list of workers, or for another try to end.
@@ -324,7 +329,9 @@
     double usualLatencyMs = 0;            ///< mean of the recent latencies, when last ranked
     double usualServiceTimeMs = 0;        ///< mean over all routes, when last ranked
     Timestamp now{};                      ///< time of the event that is being handled
-    Timestamp startedAt{};                ///< time of the first event
+    /// When a share of a ceiling was last forgotten before it was full again; at first the time of the first
+    /// event.
+    Timestamp ceilingsForgottenAt{};
     Timestamp requestTokensUpdatedAt{};
     Timestamp requestRateReducedAt{};
     Timestamp counterAnsweredAt{};  ///< when the counter last replied, be it with an error
@@ -346,7 +353,7 @@
         now = eventTime;
         actions.clear();
         if (!std::exchange(isTicking, true)) {
-            startedAt = requestTokensUpdatedAt = now;
+            ceilingsForgottenAt = requestTokensUpdatedAt = now;
             actions.push_back(SetTimer{now + kTickInterval, kTickToken});
         }
         std::visit([this](const auto &typedEvent) { on(typedEvent); }, event);
@@ -373,20 +380,33 @@
         return now + Duration{static_cast<std::int64_t>(mix64(id.value) >> 1) % length.count()};
     }
 
-    /// Finds or creates the state of the call's customer and updates it from the call.
-    Customer &customerOf(const CallReceived &received) {
-        auto [found, isNew] = customers.try_emplace(received.customer);
-        Customer &customer = found->second;
+    static bool hasLimits(const Plan &plan) {
+        return hasRateQuota(plan) || plan.openCap > 0 || plan.ceilingRate > 0;
+    }
+
+    /// Finds or creates the state of the call's customer and updates it from the call. Returns nullptr if
+    /// there is no memory for a new customer. Without limits there is nothing to remember of one.
+    Customer *customerOf(const CallReceived &received) {
+        const auto known = customers.find(received.customer);
+        const bool isNew = known == customers.end();
+        if (isNew && !hasLimits(planOf(received.plan))) {
+            customerWithoutLimits = {};
+            customerWithoutLimits.plan = received.plan;
+            return &customerWithoutLimits;
+        }
+        if (isNew && customers.size() >= settings.maxCustomers && !evictCustomerForAnother()) return nullptr;
+        Customer &customer = isNew ? customers[received.customer] : known->second;
         customer.plan = received.plan;
         customer.subsetSize = std::clamp(received.gatewaySubsetSize, 1u, settings.gatewayCount);
         customer.lastCallAt = now;
-        if (!isNew) return customer;
-        customer.ceilingUpdatedAt = startedAt;
+        customer.hasReturned = !isNew;
+        if (!isNew) return &customer;
+        customer.ceilingUpdatedAt = ceilingsForgottenAt;
         customer.bucketUpdatedAt = now;
         customer.bucketLevel = planOf(received.plan).burst;
         // Until the first totals arrive, the other gateways are assumed to use all but an even share.
         customer.othersUnitsPerMs = planOf(received.plan).rate / 1000 * (1 - 1.0 / customer.subsetSize);
-        return customer;
+        return &customer;
     }
 
     /// Decides from the cache whether the customer's quota on the rate has room for a call. A customer
@@ -820,15 +840,15 @@
 
     /// Decides about a call that was received at `receivedAt`.
     void admit(const CallReceived &received, Timestamp receivedAt) {
-        Customer &customer = customerOf(received);
+        Customer *const found = customerOf(received);
+        if (found == nullptr) return refuse(received);
+        Customer &customer = *found;
         advanceQuota(received.customer, customer);
         const bool awaitsTotals = needsFirstTotals(customer, received);
         if ((!awaitsTotals && !quotaAdmits(received.customer, customer, received.units)) ||
             !openCapAdmits(received.customer, customer) || !ceilingAdmits(customer, received.units)) {
-            answerRateLimited(received.call, received.route);
-            rereadTotals(received.customer, customer);
-            calls.erase(received.call);
-            return;
+            refuse(received);
+            return rereadTotals(received.customer, customer);
         }
         Call &call = calls[received.call] = {received, receivedAt, receivedAt + received.timeRemaining};
         if (awaitsTotals) return requestFirstTotals(received.customer, customer, call);
@@ -848,6 +868,12 @@
         if (!customer.openCounts.current.isRequested) decideHeldCalls(customer, false, 0);
     }
 
+    /// Answers a call that is not admitted.
+    void refuse(const CallReceived &received) {
+        answerRateLimited(received.call, received.route);
+        calls.erase(received.call);
+    }
+
     /// Sends an admitted call to a worker and takes its units from quota and ceiling. Gives the call up if no
     /// worker can take it, or if the ceiling has no room any more after the call was held.
     void sendFirstTry(CallId id, Call &call, Customer &customer) {
@@ -991,7 +1017,9 @@
     void resumeCall(CallId id, Call &call) {
         if (call.isClosed || !hasTimeForFirstTry(call)) return endWaitingCall(id, call);
         if (!call.isAdmitted) return admit(CallReceived(call), call.receivedAt);
-        sendFirstTry(id, call, customerOf(call));
+        Customer *const customer = customerOf(call);
+        if (customer == nullptr) return endWaitingCall(id, call);
+        sendFirstTry(id, call, *customer);
     }
 
     /// Ends a call that waited in vain.
@@ -1431,24 +1459,69 @@
     }
 
     /// Removes customers that have made no call for two windows. Each tick examines about a hundredth of all
-    /// customers. A customer with a ceiling also stays until its share of the ceiling had time to fill: a new
-    /// entry starts with a share that has filled since the gateway's start, so from then on both are equally
-    /// full.
+    /// customers.
     void evictIdleCustomers() {
         for (std::size_t remaining = 1 + customers.size() / 100; remaining > 0 && !customers.empty();
              --remaining) {
-            const auto next = customers.upper_bound(lastCheckedCustomer);
-            const auto checked = next == customers.end() ? customers.begin() : next;
+            const auto checked = nextCheckedCustomer();
             const Customer &customer = checked->second;
-            lastCheckedCustomer = checked->first;
-            const Plan &plan = planOf(customer.plan);
-            const double ceilingFillMs =
-                plan.ceilingRate > 0 ? plan.ceilingBurst / plan.ceilingRate * 1000 : 0;
-            const Duration retention = std::max(2 * windowLength(plan), fromMs(ceilingFillMs));
+            const Duration unusedFor = now - customer.lastCallAt;
             const bool isInUse =
                 customer.ownOpenTries > 0 || customer.isQueued || !customer.callsAwaitingTotals.empty();
-            if (now - customer.lastCallAt > retention && !isInUse) customers.erase(checked);
+            if (unusedFor > 2 * windowLength(planOf(customer.plan)) && isCeilingForgettable(customer) &&
+                !isInUse)
+                customers.erase(checked);
+        }
+    }
+
+    /// Removes a customer to have room for another, though it made a call within the last two windows: of a
+    /// few that are examined, the one whose last call is longest ago. Later calls of it are decided as those
+    /// of an unknown customer. Returns false if none of them may be forgotten.
+    bool evictCustomerForAnother() {
+        auto longestUnused = customers.end();
+        for (std::size_t remaining = std::min(kEvictionSampleCount, customers.size()); remaining > 0;
+             --remaining) {
+            const auto checked = nextCheckedCustomer();
+            const bool isLongerUnused = longestUnused == customers.end() ||
+                                        checked->second.lastCallAt < longestUnused->second.lastCallAt;
+            if (isLongerUnused && isForgettable(checked->second)) longestUnused = checked;
         }
+        if (longestUnused == customers.end()) return false;
+        // All new entries start with an empty share from now on, be they customers that come back or not.
+        if (!isCeilingForgettable(longestUnused->second)) ceilingsForgottenAt = now;
+        customers.erase(longestUnused);
+        return true;
+    }
+
+    /// Moves the position in the customers that are examined in turn, and returns it. There must be one.
+    std::map<CustomerId, Customer>::iterator nextCheckedCustomer() {
+        const auto next = customers.upper_bound(lastCheckedCustomer);
+        const auto checked = next == customers.end() ? customers.begin() : next;
+        lastCheckedCustomer = checked->first;
+        return checked;
+    }
+
+    /// Whether a customer's share of its ceiling had time to fill since its last call. A new entry starts
+    /// with a share that has filled since the gateway's start, so from then on both are equally full.
+    bool isCeilingForgettable(const Customer &customer) const {
+        const Plan &plan = planOf(customer.plan);
+        const double fillMs = plan.ceilingRate > 0 ? plan.ceilingBurst / plan.ceilingRate * 1000 : 0;
+        return now - customer.lastCallAt > fromMs(fillMs) || plan.ceilingRate <= 0;
+    }
+
+    /// Whether a customer may give way to another: the counter knows all that it used, none of its calls is
+    /// being decided, and it has made a single call or none for the length of a window. Otherwise customers
+    /// that never come back would displace those that do.
+    bool isForgettable(const Customer &customer) const {
+        const auto isReported = [](const CachedCount &count) {
+            return !count.needsReport && !count.isRequested && count.unreported == 0;
+        };
+        const bool isAllReported =
+            isReported(customer.unitCounts.current) && isReported(customer.unitCounts.previous) &&
+            isReported(customer.openCounts.current) && isReported(customer.openCounts.previous);
+        return isAllReported && customer.ownOpenTries == 0 && !customer.isQueued &&
+               customer.heldCalls.empty() && customer.callsAwaitingTotals.empty() &&
+               (!customer.hasReturned || now - customer.lastCallAt > windowLength(planOf(customer.plan)));
     }
 
     /// ProbeEnded and PeerMessageReceived: this engine sends neither probes nor messages to other gateways.
--- a/src/net/core/resource_limits.cpp
+++ b/src/net/core/resource_limits.cpp
@@ -11,6 +11,9 @@
 constexpr std::size_t kMinSocketCount = 48;
 constexpr std::size_t kMaxCounterConnectionCount = 31;  // the counter resets connections beyond 32
 
+/// Memory of a customer in the decision engine, with what the containers and the allocator add.
+constexpr std::size_t kCustomerBytes = 768;
+
 }  // namespace
 
 ResourceLimits::ResourceLimits(unsigned maxSockets, unsigned maxMemoryMb) {
@@ -26,6 +29,7 @@
     maxWorkerConnections = usableSockets - maxCounterConnections - maxClientConnections;
     maxBufferedBytesPerKind = memoryBytes / 10;
     maxAnswerBytes = memoryBytes / 4;
+    maxCustomers = memoryBytes / 8 / kCustomerBytes;
     maxReplyValueBytes = memoryBytes / 64;
 }
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -17,10 +17,11 @@
 /// If the event loop wakes up later than planned by more than this, the process was suspended meanwhile.
 constexpr Duration kMaxWakeDelay = milliseconds(5);
 
-/// The settings of the engine, with the bound that follows from this gateway's connections.
+/// The settings of the engine, with the bounds that follow from this gateway's limits.
 EngineSettings engineSettingsOf(const ServerContext &context) {
     EngineSettings settings = context.startDocument.settings.engine;
     settings.maxTriesInFlight = context.limits.maxWorkerConnections;
+    settings.maxCustomers = context.limits.maxCustomers;
     return settings;
 }
 
--- a/tests/rehearsal/memory_bounds.py
+++ b/tests/rehearsal/memory_bounds.py
@@ -215,11 +215,18 @@
 
 
 class Flood(MemoryRehearsal):
-    """One client, in a process of its own, sends as fast as it can for some seconds, on one connection."""
+    """One client, in a process of its own, sends as fast as it can for some seconds, on one connection. All other
+    connections carry a call every second."""
 
     async def load_client(self, number):
         if number > 0:
-            return
+            reader, writer = await self.connect()
+            await asyncio.sleep(self.random.random())
+            while True:
+                writer.write(self.call()[1])
+                await reader.readline()
+                await reader.readline()
+                await asyncio.sleep(1)
         process = await asyncio.create_subprocess_exec(
             sys.executable, __file__, "flood", self.options.play, "--port", str(self.gateway_port), "--seconds",
             str(self.seconds - 2), stdout=asyncio.subprocess.PIPE)
@@ -234,6 +241,8 @@
     if kind == "flood-info":
         return b"*1\r\n$4\r\nINFO\r\n" * BLOCK_COMMANDS
     first = block_number * BLOCK_COMMANDS
+    if kind == "flood-malformed":
+        return b"*1\r\n$4\r\nPING\r\n*9\r\nnonsense\r\n"
     if kind == "flood-unknown":
         return b"".join(b"*2\r\n$8\r\n%08x\r\n$1\r\nx\r\n" % (first + index) for index in range(BLOCK_COMMANDS))
     commands = []
@@ -278,7 +287,7 @@
 
 
 FLOOD_PLANS = {"flood-open": b"open", "flood-quota": b"small", "flood-ceiling": b"ceiling"}
-FLOODS = ["flood-ping", "flood-info", "flood-unknown", "flood-bad-customers", "flood-new-plans", "flood-new-ids",
+FLOODS = ["flood-ping", "flood-malformed", "flood-info", "flood-unknown", "flood-bad-customers", "flood-new-plans", "flood-new-ids",
           "flood-new-customers", *FLOOD_PLANS]
 PLAYS = {"long-values": LongValues, "slow-writers": SlowWriters, "half-requests": HalfRequests,
          "request-and-byte": RequestAndByte, "many-fields": ManyFields, **{kind: Flood for kind in FLOODS}}
