An address belongs to one worker: a new process there is not taken for the old one

While the list names two workers at one address, both had connections and limits, all of which lead to the process that is there now: a cold one got the tries of a warm one, and calls for the old one's zone or group.

WorkerAddresses (no I/O) gives an address to the ready worker that started last or, of equal starts, was listed last; the others count as gone until it is free. A worker that was gone and is listed again gets new connections also where its start and address are the same.

--- /dev/null
+++ b/src/net/core/worker_addresses.hpp
@@ -0,0 +1,41 @@
+/// \file
+/// Which listed worker an address belongs to. Without I/O.
+#pragma once
+
+#include <map>
+#include <set>
+
+#include "discovery_update.hpp"
+
+namespace arrowstile {
+
+/// Tells from discovery's updates which workers have lost their address to another.
+///
+/// One process listens at an address. When a new one comes up at the address of one that has gone, the list
+/// may still name the old worker. What is sent to that one would reach the new process, beyond the limits
+/// that hold for it, and with the old worker's zone, group and start.
+class WorkerAddresses {
+public:
+    /// Takes an update in and returns it with each worker as gone whose address belongs to another: to the
+    /// one that started last or, of equal starts, to the one that was listed last. A worker whose address is
+    /// free again is listed again.
+    DiscoveryUpdate resolve(DiscoveryUpdate update);
+
+private:
+    struct Listing {
+        WorkerEntry entry;
+        std::string address;
+        std::uint64_t updateNumber = 0;  ///< of the update that listed it last
+        bool isDisplaced = false;
+    };
+
+    void takeIn(const DiscoveredWorker &worker);
+    void forgetGoneWorkers();
+    std::set<WorkerId> updateDisplaced(const std::string &address);
+
+    std::map<WorkerId, Listing> listings_;
+    std::map<std::string, std::set<WorkerId>> workersByAddress_;
+    std::uint64_t lastUpdateNumber_ = 0;
+};
+
+}  // namespace arrowstile
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -46,11 +46,12 @@
           }),
       counter_(context_),
       discovery_(context_,
-                 [this](const DiscoveryUpdate &update, WorkerListKind kind) {
+                 [this](const DiscoveryUpdate &listed, WorkerListKind kind) {
+                     const DiscoveryUpdate update = workerAddresses_.resolve(listed);
                      workers_.updateWorkers(update);
                      WorkerListUpdated event{kind, update.version, {}};
-                     for (const DiscoveredWorker &listed : update.workers)
-                         event.workers.push_back(listed.entry);
+                     for (const DiscoveredWorker &worker : update.workers)
+                         event.workers.push_back(worker.entry);
                      context_.pendingEvents.emplace_back(std::move(event));
                  }),
       peers_(context_),
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -8,6 +8,7 @@
 
 #include "client_connections.hpp"
 #include "core/pending_calls.hpp"
+#include "core/worker_addresses.hpp"
 #include "counter_client.hpp"
 #include "discovery_client.hpp"
 #include "peer_socket.hpp"
@@ -68,6 +69,7 @@
     std::function<StartDocument()> readStartDocument_;
     DecisionEngine engine_;
     PendingCallTable pendingCalls_;
+    WorkerAddresses workerAddresses_;
     ClientConnections clients_;
     WorkerConnections workers_;
     CounterClient counter_;
--- a/src/net/worker_connections.cpp
+++ b/src/net/worker_connections.cpp
@@ -49,7 +49,7 @@
     bool isReady = false;
     bool isGone = false;
     bool hasValidAddress = false;
-    unsigned generation = 0;  ///< increased when the worker's process or address changes
+    unsigned generation = 0;  ///< increased when the worker's process or address changes, or it comes back
     std::vector<std::unique_ptr<Connection>> connections;  ///< the most recently used one is last
 };
 
@@ -104,37 +104,42 @@
 WorkerConnections::~WorkerConnections() { pools_.clear(); }
 
 void WorkerConnections::updateWorkers(const DiscoveryUpdate &update) {
-    if (update.isSnapshot) {
-        for (auto &[id, pool] : pools_) {
+    std::set<WorkerId> listedWorkers;
+    for (const DiscoveredWorker &listed : update.workers) {
+        listedWorkers.insert(listed.entry.worker);
+        updatePool(pools_[listed.entry.worker], listed);
+    }
+    for (auto &[id, pool] : pools_) {
+        if (update.isSnapshot && !listedWorkers.contains(id)) {
             pool.isReady = false;
             pool.isGone = true;
         }
+        if (!pool.isReady) closeIdleConnections(id);
     }
-    for (const DiscoveredWorker &listed : update.workers) {
-        ConnectionPool &pool = pools_[listed.entry.worker];
-        Address address = pool.address;
-        if (!listed.address.empty()) {
-            try {
-                address = parseAddress(listed.address, "address of a worker");
-                pool.hasValidAddress = true;
-            } catch (const ConfigError &error) {
-                context_.log.warning(error.what());
-                pool.hasValidAddress = false;
-            }
+}
+
+void WorkerConnections::updatePool(ConnectionPool &pool, const DiscoveredWorker &listed) {
+    Address address = pool.address;
+    if (!listed.address.empty()) {
+        try {
+            address = parseAddress(listed.address, "address of a worker");
+            pool.hasValidAddress = true;
+        } catch (const ConfigError &error) {
+            context_.log.warning(error.what());
+            pool.hasValidAddress = false;
         }
-        // Idle connections lead to the worker's old process or address.
-        const bool hasMoved = pool.startedAt != listed.entry.startedAt || pool.address != address;
-        pool.address = address;
-        pool.startedAt = listed.entry.startedAt;
-        pool.isReady = listed.entry.state == WorkerState::ready;
-        pool.isGone = listed.entry.state == WorkerState::gone;
-        if (!hasMoved) continue;
-        ++pool.generation;
-        closeIdleConnections(listed.entry.worker);
-    }
-    for (auto &[id, pool] : pools_) {
-        if (!pool.isReady) closeIdleConnections(id);
     }
+    const bool isGone = listed.entry.state == WorkerState::gone;
+    const bool hasReturned = pool.isGone && !isGone;
+    // Connections that are open lead to the worker's old process or address.
+    const bool hasMoved = hasReturned || pool.startedAt != listed.entry.startedAt || pool.address != address;
+    pool.address = address;
+    pool.startedAt = listed.entry.startedAt;
+    pool.isReady = listed.entry.state == WorkerState::ready;
+    pool.isGone = isGone;
+    if (!hasMoved) return;
+    ++pool.generation;
+    closeIdleConnections(listed.entry.worker);
 }
 
 void WorkerConnections::reportNotSent(const SendTry &action, TryNumber tryNumber) {
--- a/src/net/worker_connections.hpp
+++ b/src/net/worker_connections.hpp
@@ -63,6 +63,7 @@
     struct InFlightRequest;
     struct ConnectionPool;
 
+    void updatePool(ConnectionPool &pool, const DiscoveredWorker &listed);
     void queueRequest(ConnectionPool &pool, const InFlightRequest &request);
     Connection *connectionFor(ConnectionPool &pool, WorkerId worker, Outcome &failure);
     bool closeLongestIdleConnection();
--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -10,6 +10,7 @@
 #include "core/pending_calls.hpp"
 #include "core/resource_limits.hpp"
 #include "core/start_document.hpp"
+#include "core/worker_addresses.hpp"
 #include "core/worker_reply.hpp"
 #include "engine_test_helpers.hpp"
 
@@ -476,3 +477,40 @@
     CHECK(fired == "abcd");
     CHECK(!timers.nextDue());
 }
+
+// Guards against work that is meant for a worker going to another process at its address.
+TEST_CASE("of workers at one address the one that started last, or was listed last, has it") {
+    const auto listed = [](unsigned id, const char *address, int startedAtMs,
+                           WorkerState state = WorkerState::ready) {
+        DiscoveredWorker worker;
+        worker.entry.worker = WorkerId{id};
+        worker.entry.state = state;
+        worker.entry.startedAt = std::chrono::milliseconds(startedAtMs);
+        worker.address = address;
+        return worker;
+    };
+    const auto goneIn = [](const DiscoveryUpdate &update) {
+        std::vector<unsigned> gone;
+        for (const DiscoveredWorker &worker : update.workers)
+            if (worker.entry.state == WorkerState::gone) gone.push_back(worker.entry.worker.value);
+        return gone;
+    };
+    using Ids = std::vector<unsigned>;
+    WorkerAddresses addresses;
+    CHECK(goneIn(addresses.resolve({1, true, {listed(1, "a", 0), listed(2, "b", 0)}})).empty());
+    CHECK(goneIn(addresses.resolve({2, false, {listed(3, "a", 500)}})) == Ids{1});
+    // The old one is listed again, and then drains: it has lost the address all the same.
+    CHECK(goneIn(addresses.resolve({3, false, {listed(1, "a", 0)}})) == Ids{1});
+    CHECK(goneIn(addresses.resolve({4, false, {listed(1, "a", 0, WorkerState::draining)}})) == Ids{1});
+    // Of equal starts the later listing counts; a worker that is not ready takes no address.
+    CHECK(goneIn(addresses.resolve({5, false, {listed(4, "b", 0, WorkerState::draining)}})).empty());
+    CHECK(goneIn(addresses.resolve({6, false, {listed(4, "b", 0)}})) == Ids{2});
+    // The address is free again.
+    const DiscoveryUpdate freed = addresses.resolve({7, false, {listed(3, "a", 500, WorkerState::gone)}});
+    REQUIRE(freed.workers.size() == 2);
+    CHECK(freed.workers[1].entry.worker == WorkerId{1});
+    CHECK(freed.workers[1].entry.state == WorkerState::draining);
+    // Workers without an address, and equal claims in one list, displace nobody.
+    CHECK(goneIn(addresses.resolve({8, true, {listed(1, "", 1), listed(2, "", 2)}})).empty());
+    CHECK(goneIn(addresses.resolve({9, true, {listed(1, "a", 1), listed(2, "a", 1)}})).empty());
+}
--- a/tests/test_gateway_discovery.cpp
+++ b/tests/test_gateway_discovery.cpp
@@ -2,7 +2,7 @@
 /// Tests of a whole gateway over real sockets: which list of workers its calls are sent by while discovery's
 /// answer is late, incomplete or missing.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
-#include "gateway_fixture.hpp"
+#include "worker_stand_in.hpp"
 
 using namespace arrowstile;
 using namespace arrowstile::testing;
@@ -228,3 +228,20 @@
     REQUIRE(position != std::string::npos);
     CHECK(std::stoi(command.substr(position + 3)) <= 1000 - 400 + 150);
 }
+
+// Guards against a new process at the address of a worker that has gone being taken for that worker as long
+// as the list names both: a cold process would get what a warm one may get.
+TEST_CASE("issue 44: an address belongs to the worker that started there last") {
+    GatewayFixture fixture;
+    const Socket client = fixture.makeReadyAndConnect();
+    const auto nowMs =
+        std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    const std::string newWorker = readyWorker("n", fixture.workerListener);
+    fixture.sendWorkerListDelta(newWorker.substr(0, newWorker.size() - 1) +
+                                ",\"since_ms\":" + std::to_string(nowMs.count()) + "}");
+    WorkerStandIn worker(fixture.workerListener, 20);
+    for (const char *id : {"f1", "f2", "f3"}) client.write(apiCall("status", 1000, id));
+    std::this_thread::sleep_for(milliseconds(100));
+    // A cold worker may have one try of this gateway in flight.
+    CHECK(worker.commandCount() == 1);
+}
