A discovery process that was replaced is asked for its whole list

A watch asks for changes since a version; another process at the address has versions of its own, and its answer with an older one was taken as the latest list, so changes were missed.

Such an answer now puts the list in doubt, and the whole list is fetched at once.

--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -145,6 +145,7 @@
     }
     try {
         const DiscoveryUpdate update = updateParser_.parse(response.body);
+        if (!update.isSnapshot && update.version < version_) return handleOlderVersion(update.version);
         version_ = update.version;
         hasList_ = true;
         const bool isRecent = context_.clock.now() - responseBegunAt_ <= kMaxTransferTime;
@@ -165,6 +166,16 @@
     }
 }
 
+/// Discovery has answered with changes up to a version before the one that was asked from, so it is another
+/// process, whose versions mean other lists. Only a whole list helps.
+void DiscoveryClient::handleOlderVersion(std::uint64_t version) {
+    context_.log.warning("discovery: changes up to version ", version, " were sent from ", version_,
+                         " on; the whole list is fetched");
+    freshness_.addDoubt(ListDoubt::connectionLost, context_.clock.now());
+    isSnapshotWanted_ = true;
+    if (!mustReconnect_) sendRequest();
+}
+
 void DiscoveryClient::restartTimeout(Duration timeout) {
     context_.timers.cancel(timer_);
     timer_ = context_.timers.schedule(context_.clock.now() + timeout, [this] { handleTimeout(); });
--- a/src/net/discovery_client.hpp
+++ b/src/net/discovery_client.hpp
@@ -50,6 +50,7 @@
     void onClosed(CloseReason reason) override;
 
     void handleResponse(const HttpResponse &response);
+    void handleOlderVersion(std::uint64_t version);
     void sendRequest();
     bool openConnection();
     RequestKind nextRequestKind() const;
--- a/tests/test_gateway_discovery.cpp
+++ b/tests/test_gateway_discovery.cpp
@@ -245,3 +245,15 @@
     // A cold worker may have one try of this gateway in flight.
     CHECK(worker.commandCount() == 1);
 }
+
+// Guards against changes being missed for good: the versions of another discovery process, at the address of
+// the one before, mean other lists.
+TEST_CASE("issue 44: a discovery process that was replaced is asked for its whole list") {
+    GatewayFixture fixture;
+    fixture.makeReadyAndConnect();
+    const std::string body = R"({"index":1,"snapshot":false,"endpoints":[]})";
+    fixture.discoveryConnection.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                                      "\r\n\r\n" + body);
+    const std::string request = fixture.discoveryConnection.read(kHttpHeaderEnd);
+    CHECK(request.find("GET /api/targets HTTP") != std::string::npos);
+}
