A call that must not run twice is not sent again when its id comes back

A call whose client leaves is no longer pending, though its worker may run it; when the client came back with the same id, the call was sent on again and ran twice.

Ids of calls that are not idempotent are kept for a minute from when they were written to a worker, in a 32nd of the memory (SentRequestIds, without I/O). A call with such an id is answered with an error.

--- /dev/null
+++ b/include/arrowstile/sent_request_ids.hpp
@@ -0,0 +1,43 @@
+/// \file
+/// Decides whether a call with a request id that was seen before may be taken. Without I/O.
+#pragma once
+
+#include <arrowstile/engine_settings.hpp>
+#include <arrowstile/ids.hpp>
+#include <cstddef>
+#include <deque>
+#include <string_view>
+#include <unordered_map>
+
+namespace arrowstile {
+
+/// The request ids of calls that were sent to a worker and must not run again.
+///
+/// Every call has a new id. If one comes again nevertheless, for example because its client has left and
+/// sends it over another connection, the call may have run, and may still be running, though nobody awaits it
+/// here.
+class SentRequestIds {
+public:
+    /// At most `capacity` ids are kept; beyond that the oldest ones are forgotten.
+    explicit SentRequestIds(std::size_t capacity) : capacity_(capacity) {}
+
+    /// A call is written to a worker. Calls that may run any number of times are not kept.
+    void add(std::string_view requestId, Effect effect, Timestamp now);
+    /// Whether a call with this id was sent within the last minute.
+    bool contains(std::string_view requestId, Timestamp now);
+    std::size_t size() const { return lastSentAt_.size(); }
+
+private:
+    struct Entry {
+        std::size_t idHash;
+        Timestamp sentAt;
+    };
+
+    void forgetOld(Timestamp now);
+
+    std::size_t capacity_;
+    std::unordered_map<std::size_t, Timestamp> lastSentAt_;  ///< by the hash of the id
+    std::deque<Entry> entries_;                              ///< in the order of their times
+};
+
+}  // namespace arrowstile
--- a/src/net/client_connections.cpp
+++ b/src/net/client_connections.cpp
@@ -251,8 +251,12 @@
     bool isWriteShutdown = false;
 };
 
-ClientConnections::ClientConnections(ServerContext &context, PendingCallTable &pendingCalls)
-    : context_(context), pendingCalls_(pendingCalls), answerMemory_(context.limits.maxAnswerBytes) {
+ClientConnections::ClientConnections(ServerContext &context, PendingCallTable &pendingCalls,
+                                     SentRequestIds &sentRequestIds)
+    : context_(context),
+      pendingCalls_(pendingCalls),
+      sentRequestIds_(sentRequestIds),
+      answerMemory_(context.limits.maxAnswerBytes) {
     context_.timers.schedule(context_.clock.now() + kCleanupInterval, [this] { closeOverdueConnections(); });
 }
 
@@ -344,6 +348,8 @@
         ApiCall call;
         auto error = parseApiCall(command, context_.startDocument.settings, call);
         if (error.empty() && pendingCalls_.hasRequestId(call.requestId)) error = "this id is open";
+        if (error.empty() && sentRequestIds_.contains(call.requestId, context_.clock.now()))
+            error = "a call with this id may have run";
         if (error.empty() &&
             pendingCalls_.textBytes() + call.textBytes() > context_.limits.maxBufferedBytesPerKind) {
             ++context_.metrics.callsRateLimited;
--- a/src/net/client_connections.hpp
+++ b/src/net/client_connections.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <arrowstile/answer_memory.hpp>
+#include <arrowstile/sent_request_ids.hpp>
 #include <map>
 #include <memory>
 #include <optional>
@@ -19,7 +20,7 @@
 /// commands. Limits how much memory and how many sockets clients can take up.
 class ClientConnections {
 public:
-    ClientConnections(ServerContext &context, PendingCallTable &pendingCalls);
+    ClientConnections(ServerContext &context, PendingCallTable &pendingCalls, SentRequestIds &sentRequestIds);
     ~ClientConnections();
 
     /// Starts to accept clients. Throws ConfigError if the address can't be listened on.
@@ -69,6 +70,7 @@
 
     ServerContext &context_;
     PendingCallTable &pendingCalls_;
+    SentRequestIds &sentRequestIds_;
     std::unique_ptr<TcpListener> listener_;
     std::optional<DeferredClient> deferredClient_;
     AnswerMemory answerMemory_;
--- a/src/net/core/resource_limits.cpp
+++ b/src/net/core/resource_limits.cpp
@@ -14,6 +14,9 @@
 /// Memory of a customer in the decision engine, with what the containers and the allocator add.
 constexpr std::size_t kCustomerBytes = 768;
 
+/// Memory of an id in SentRequestIds, with what the containers and the allocator add.
+constexpr std::size_t kSentRequestIdBytes = 96;
+
 }  // namespace
 
 ResourceLimits::ResourceLimits(unsigned maxSockets, unsigned maxMemoryMb) {
@@ -30,6 +33,7 @@
     maxBufferedBytesPerKind = memoryBytes / 10;
     maxAnswerBytes = memoryBytes / 4;
     maxCustomers = memoryBytes / 8 / kCustomerBytes;
+    maxSentRequestIds = memoryBytes / 32 / kSentRequestIdBytes;
     maxReplyValueBytes = memoryBytes / 64;
 }
 
--- a/src/net/core/resource_limits.hpp
+++ b/src/net/core/resource_limits.hpp
@@ -26,6 +26,7 @@
     /// Total bytes of answers that wait for an earlier one or for their clients, with the calls in progress.
     std::size_t maxAnswerBytes;
     std::size_t maxCustomers;        ///< with limits, whose use the engine remembers
+    std::size_t maxSentRequestIds;   ///< that are kept of calls which must not run again
     std::size_t maxReplyValueBytes;  ///< longest value in a worker's reply
 };
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -32,18 +32,15 @@
     : context_{.loop = loop, .startDocument = std::move(startDocument), .log = log},
       readStartDocument_(std::move(readStartDocument)),
       engine_(engineSettingsOf(context_), context_.startDocument.seed),
-      clients_(context_, pendingCalls_),
+      sentRequestIds_(context_.limits.maxSentRequestIds),
+      clients_(context_, pendingCalls_, sentRequestIds_),
       workers_(
           context_, [this](CallId call, std::string_view value) { handleWorkerAnswer(call, value); },
           [this](CallId call) {
               const PendingCall *pending = pendingCalls_.find(call);
               return pending != nullptr ? &pending->call : nullptr;
           },
-          [this](CallId call) {
-              const PendingCall *pending = pendingCalls_.find(call);
-              const bool isWanted = pending != nullptr && clients_.isClientPresent(pending->client);
-              return isWanted ? &pending->call : nullptr;
-          }),
+          [this](CallId call) { return findCallToSend(call); }),
       counter_(context_),
       discovery_(context_,
                  [this](const DiscoveryUpdate &listed, WorkerListKind kind) {
@@ -213,6 +210,15 @@
         remainingUs > 0 ? static_cast<std::uint64_t>((remainingUs + 999) / 1000) : 0, 0);
 }
 
+/// Returns a call that is about to be written to a worker; nullptr if it has ended or its client has left.
+const ApiCall *Gateway::findCallToSend(CallId call) {
+    const PendingCall *pending = pendingCalls_.find(call);
+    if (pending == nullptr || !clients_.isClientPresent(pending->client)) return nullptr;
+    const Route &route = context_.startDocument.settings.engine.routes[pending->call.event.route.value];
+    sentRequestIds_.add(pending->call.requestId, route.effect, context_.clock.now());
+    return &pending->call;
+}
+
 void Gateway::handleWorkerAnswer(CallId call, std::string_view value) {
     const auto closed = pendingCalls_.remove(call);
     if (!closed) return;
--- a/src/net/gateway.hpp
+++ b/src/net/gateway.hpp
@@ -50,6 +50,7 @@
     void armWakeTimer();
     void stop();
     void reload();
+    const ApiCall *findCallToSend(CallId call);
     void handleWorkerAnswer(CallId call, std::string_view value);
 
     void execute(const SendTry &action);
@@ -69,6 +70,7 @@
     std::function<StartDocument()> readStartDocument_;
     DecisionEngine engine_;
     PendingCallTable pendingCalls_;
+    SentRequestIds sentRequestIds_;
     WorkerAddresses workerAddresses_;
     ClientConnections clients_;
     WorkerConnections workers_;
--- a/src/net/worker_connections.cpp
+++ b/src/net/worker_connections.cpp
@@ -261,10 +261,10 @@
 std::string WorkerConnections::commandOf(const Connection &connection, const InFlightRequest &request) const {
     if (!isUsable(connection)) return {};
     if (request.isProbe) return probeCommand();
-    const ApiCall *call = findCallToSend_(request.call);
     const Duration timeLeft = request.deadline - context_.clock.now();
+    if (timeLeft <= Duration{}) return {};
     std::string command;
-    if (call != nullptr && timeLeft > Duration{}) call->appendCommand(command, timeLeft);
+    if (const ApiCall *call = findCallToSend_(request.call)) call->appendCommand(command, timeLeft);
     return command;
 }
 
--- a/tests/test_gateway_isolation.cpp
+++ b/tests/test_gateway_isolation.cpp
@@ -153,3 +153,24 @@
     CHECK(workerConnection.read(kCallEnd, milliseconds(400)).find("Q.") == std::string::npos);
     CHECK_FALSE(fixture.workerListener.waitReadable(milliseconds(0)));
 }
+
+// Guards against a call that runs twice because its client has left and sends it again, with the same id.
+TEST_CASE("issue 44: a call that must not run twice is not sent again when its id comes back") {
+    for (const bool isAnswered : {false, true}) {
+        CAPTURE(isAnswered);
+        GatewayFixture fixture;
+        Socket client = fixture.makeReadyAndConnect();
+        const std::string call = apiCall("dispatch", 1000, isAnswered ? "c2" : "c1");
+        client.write(call);
+        Socket workerConnection = fixture.workerListener.accept();
+        CHECK(workerConnection.read(kCallEnd).find("Q.DO") != std::string::npos);
+        if (isAnswered) workerConnection.write(kProxiedReply);
+        client.close();
+        std::this_thread::sleep_for(milliseconds(100));
+        const Socket nextClient = fixture.connectClient();
+        nextClient.write(call + apiCall("dispatch", 1000, isAnswered ? "d2" : "d1"));
+        CHECK(nextClient.read() == "-ERR a call with this id may have run\r\n");
+        if (!isAnswered) workerConnection = fixture.workerListener.accept();
+        CHECK(workerConnection.read(kCallEnd).find(isAnswered ? "d2" : "d1") != std::string::npos);
+    }
+}
--- /dev/null
+++ b/tests/test_sent_request_ids.cpp
@@ -0,0 +1,34 @@
+/// \file
+/// Tests of the decision whether a call with a request id that was seen before may be taken.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <arrowstile/sent_request_ids.hpp>
+#include <string>
+
+using namespace arrowstile;
+using std::chrono::seconds;
+
+TEST_CASE("ids of calls that must not run twice are kept for a minute from when they were last sent") {
+    SentRequestIds ids(10);
+    ids.add("a", Effect::nonIdempotent, seconds(100));
+    ids.add("b", Effect::tokened, seconds(110));
+    ids.add("c", Effect::idempotent, seconds(110));
+    CHECK((ids.contains("a", seconds(110)) && ids.contains("b", seconds(110))));
+    CHECK_FALSE(ids.contains("c", seconds(110)));
+    ids.add("b", Effect::tokened, seconds(150));
+    CHECK(ids.contains("a", seconds(160)));
+    CHECK_FALSE(ids.contains("a", seconds(161)));
+    CHECK(ids.contains("b", seconds(210)));
+    CHECK_FALSE(ids.contains("b", seconds(211)));
+    CHECK(ids.size() == 0);
+}
+
+TEST_CASE("no more ids are kept than the capacity allows, the latest ones") {
+    SentRequestIds ids(100);
+    for (int index = 0; index < 1000; ++index)
+        ids.add("id" + std::to_string(index), Effect::nonIdempotent, seconds(1));
+    CHECK(ids.size() == 100);
+    CHECK(ids.contains("id900", seconds(1)));
+    CHECK_FALSE(ids.contains("id899", seconds(1)));
+}
