--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets for development. README.md lists what they need.
 JOBS ?= 4
 MEMORY_PLAYS = long-values slow-writers half-requests request-and-byte many-fields flood-ping \
-	flood-new-customers flood-ceiling
+	flood-new-customers flood-ceiling endless-lists
 
 .PHONY: build lab test memory soak lint run clean
 
--- a/src/net/core/discovery_update.hpp
+++ b/src/net/core/discovery_update.hpp
@@ -4,6 +4,7 @@
 
 #include <arrowstile/events.hpp>
 #include <map>
+#include <nlohmann/json_fwd.hpp>
 #include <settings.hpp>
 #include <string>
 #include <string_view>
@@ -41,6 +42,7 @@
     std::size_t knownWorkerCount() const { return namesById_.size(); }
 
 private:
+    DiscoveredWorker readWorker(const nlohmann::json &endpoint);
     WorkerId idOf(const std::string &name);
     void removeGoneWorkers(const DiscoveryUpdate &update);
 
--- a/src/net/core/resource_limits.cpp
+++ b/src/net/core/resource_limits.cpp
@@ -34,6 +34,7 @@
     maxAnswerBytes = memoryBytes / 4;
     maxCustomers = memoryBytes / 8 / kCustomerBytes;
     maxSentRequestIds = memoryBytes / 32 / kSentRequestIdBytes;
+    maxListBytes = memoryBytes / 16;
     maxReplyValueBytes = memoryBytes / 64;
 }
 
--- a/src/net/core/resource_limits.hpp
+++ b/src/net/core/resource_limits.hpp
@@ -27,6 +27,7 @@
     std::size_t maxAnswerBytes;
     std::size_t maxCustomers;        ///< with limits, whose use the engine remembers
     std::size_t maxSentRequestIds;   ///< that are kept of calls which must not run again
+    std::size_t maxListBytes;        ///< longest list of workers, as text
     std::size_t maxReplyValueBytes;  ///< longest value in a worker's reply
 };
 
--- a/src/net/discovery_client.cpp
+++ b/src/net/discovery_client.cpp
@@ -7,7 +7,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::size_t kMaxListBytes = 16 * 1024 * 1024;
 /// How long discovery may hold a watch request until something changes.
 constexpr Duration kWatchTimeout = milliseconds(10000);
 /// The same for a request that asks for a response at once.
@@ -104,7 +103,7 @@
 bool DiscoveryClient::openConnection() {
     mustReconnect_ = isOpen_ = false;
     responseParser_ = std::make_unique<HttpResponseParser>(
-        kMaxListBytes, [this](const HttpResponse &response) { handleResponse(response); });
+        context_.limits.maxListBytes, [this](const HttpResponse &response) { handleResponse(response); });
     CloseReason failure{};
     tcp_ = TcpConnection::connect(context_.loop, context_.startDocument.discoveryAddress, this, failure);
     if (!tcp_) loseConnection(doubtAfter(failure));
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -89,7 +89,7 @@
     clients_.listen(startDocument.listenAddress);
     peers_.listen();
     if (!startDocument.cachedWorkerListJson.empty())
-        discovery_.loadCachedList(startDocument.cachedWorkerListJson);
+        discovery_.loadCachedList(std::exchange(context_.startDocument.cachedWorkerListJson, {}));
     discovery_.setWatching(true);
     context_.pendingEvents.emplace_back(WorkerListUsableChanged{isListUsable_});
     context_.lastReadAt = context_.clock.now();
--- a/tests/rehearsal/memory_bounds.py
+++ b/tests/rehearsal/memory_bounds.py
@@ -9,6 +9,7 @@
 
 import argparse
 import asyncio
+import json
 import os
 import random
 import select
@@ -29,6 +30,7 @@
 SLOW_PIECE_EVERY_S = 0.05
 FIELD_CALLS_AT_ONCE = 4
 BLOCK_COMMANDS = 2000
+LIST_EVERY_S = 0.2
 
 
 class MemoryRehearsal(Rehearsal):
@@ -234,6 +236,52 @@
         self.load_counts = output.decode().strip()
 
 
+class LongLists(MemoryRehearsal):
+    """Discovery sends the whole list five times a second, indented. The connections carry nothing."""
+
+    async def serve_discovery(self, reader, writer):
+        try:
+            while await reader.readline():
+                while (await reader.readline()).strip():
+                    pass
+                await asyncio.sleep(LIST_EVERY_S)
+                body = json.dumps(self.worker_list(is_snapshot=True), indent=4)
+                writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+                self.count("lists")
+        except ConnectionError:
+            pass
+        writer.close()
+
+    async def load_client(self, number):
+        await self.connect()
+
+
+class EndlessLists(MemoryRehearsal):
+    """Discovery's answers to all requests but the first are lists that never end."""
+
+    async def serve_discovery(self, reader, writer):
+        try:
+            while await reader.readline():
+                while (await reader.readline()).strip():
+                    pass
+                if self.load_counts.get("lists", 0) == 0:
+                    self.count("lists")
+                    body = json.dumps(self.worker_list(is_snapshot=True))
+                    writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+                    continue
+                self.count("endless lists")
+                writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n{"endpoints":[')
+                while True:
+                    writer.write(b'{"name":"s","address":"127.0.0.1:1","status":"Terminating"},' * 1000)
+                    await writer.drain()
+        except ConnectionError:
+            pass
+        writer.close()
+
+    async def load_client(self, number):
+        await self.connect()
+
+
 def flood_block(kind, block_number):
     """Some thousand commands, different in each block where the kind says new names."""
     if kind == "flood-ping":
@@ -290,7 +338,7 @@
 FLOODS = ["flood-ping", "flood-malformed", "flood-info", "flood-unknown", "flood-bad-customers", "flood-new-plans", "flood-new-ids",
           "flood-new-customers", *FLOOD_PLANS]
 PLAYS = {"long-values": LongValues, "slow-writers": SlowWriters, "half-requests": HalfRequests,
-         "request-and-byte": RequestAndByte, "many-fields": ManyFields, **{kind: Flood for kind in FLOODS}}
+         "request-and-byte": RequestAndByte, "many-fields": ManyFields, "long-lists": LongLists, "endless-lists": EndlessLists, **{kind: Flood for kind in FLOODS}}
 
 
 def main():
