--- a/tests/rehearsal/long_answers.py
+++ b/tests/rehearsal/long_answers.py
@@ -221,18 +221,8 @@
               f"p99 {1000 * latencies[len(latencies) * 99 // 100]:.2f} ms")
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("gateway", help="the program")
-    parser.add_argument("--memory-mb", type=int, default=32)
-    parser.add_argument("--value-bytes", type=int, default=60000)
-    parser.add_argument("--listed-workers", type=int, default=WORKERS)
-    parser.add_argument("--seconds", type=float, default=12)
-    parser.add_argument("--short", action="store_true", help="measure short answers")
-    options = parser.parse_args()
-    if options.short:
-        options.value_bytes = 16
-    rehearsal = Rehearsal(options)
+def run_rehearsal(rehearsal):
+    """Plays a rehearsal, prints its faults and ends this process with exit code 1 if there are any."""
     with tempfile.TemporaryDirectory() as directory:
         try:
             loop = asyncio.new_event_loop()
@@ -246,7 +236,21 @@
     if rehearsal.faults:
         print(f"{len(rehearsal.faults)} faults")
     sys.stdout.flush()
-    sys.exit(1 if rehearsal.faults else 0)
+    os._exit(1 if rehearsal.faults else 0)  # without the ends of the connections that are left
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("gateway", help="the program")
+    parser.add_argument("--memory-mb", type=int, default=32)
+    parser.add_argument("--value-bytes", type=int, default=60000)
+    parser.add_argument("--listed-workers", type=int, default=WORKERS)
+    parser.add_argument("--seconds", type=float, default=12)
+    parser.add_argument("--short", action="store_true", help="measure short answers")
+    options = parser.parse_args()
+    if options.short:
+        options.value_bytes = 16
+    run_rehearsal(Rehearsal(options))
 
 
 if __name__ == "__main__":
--- a/tests/rehearsal/memory_bounds.py
+++ b/tests/rehearsal/memory_bounds.py
@@ -10,15 +10,13 @@
 import argparse
 import asyncio
 import json
-import os
 import random
 import select
 import socket
 import sys
-import tempfile
 import time
 
-from long_answers import ANSWER_SLACK_S, CLIENT_TIMEOUT_MS, HOST, Rehearsal, read_command
+from long_answers import ANSWER_SLACK_S, CLIENT_TIMEOUT_MS, HOST, Rehearsal, read_command, run_rehearsal
 from loopback import bulk
 
 LONG_BYTES = 64 * 1024
@@ -354,21 +352,7 @@
     parser.add_argument("--seconds", type=float, default=8)
     parser.add_argument("--seed", type=int, default=1)
     options = parser.parse_args()
-    rehearsal = PLAYS[options.play](options)
-    with tempfile.TemporaryDirectory() as directory:
-        try:
-            loop = asyncio.new_event_loop()
-            loop.set_exception_handler(lambda *_: None)  # servers that are cut off at the end
-            loop.run_until_complete(rehearsal.play(directory))
-        finally:
-            if getattr(rehearsal, "process", None) and rehearsal.process.poll() is None:
-                rehearsal.process.kill()
-    for fault in rehearsal.faults[:10]:
-        print(fault)
-    if rehearsal.faults:
-        print(f"{len(rehearsal.faults)} faults")
-    sys.stdout.flush()
-    os._exit(1 if rehearsal.faults else 0)  # without the ends of the connections that are left
+    run_rehearsal(PLAYS[options.play](options))
 
 
 if __name__ == "__main__":
