An id may be used again while its client is there; equal starts displace no worker

The tests are right: after its answer an id may be used again, and two workers may be listed at one address.

--- a/include/arrowstile/ids.hpp
+++ b/include/arrowstile/ids.hpp
@@ -26,6 +26,8 @@
 
 /// An API call; chosen by the caller of the engine and unique within one engine.
 using CallId = Id<struct CallTag, std::uint64_t>;
+/// A client's connection.
+using ClientId = Id<struct ClientTag, std::uint64_t>;
 /// A worker. The gateway program derives it from the worker's name, so that all gateways use the same id.
 using WorkerId = Id<struct WorkerTag, std::uint32_t>;
 /// A customer, who holds a quota.
--- a/include/arrowstile/sent_request_ids.hpp
+++ b/include/arrowstile/sent_request_ids.hpp
@@ -6,6 +6,7 @@
 #include <arrowstile/ids.hpp>
 #include <cstddef>
 #include <deque>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 
@@ -21,11 +22,11 @@
     /// At most `capacity` ids are kept; beyond that the oldest ones are forgotten.
     explicit SentRequestIds(std::size_t capacity) : capacity_(capacity) {}
 
-    /// A call is written to a worker. Calls that may run any number of times are not kept.
-    void add(std::string_view requestId, Effect effect, Timestamp now);
-    /// Whether a call with this id was sent within the last minute.
-    bool contains(std::string_view requestId, Timestamp now);
-    std::size_t size() const { return lastSentAt_.size(); }
+    /// A call of a client is written to a worker. Calls that may run any number of times are not kept.
+    void add(std::string_view requestId, Effect effect, ClientId client, Timestamp now);
+    /// The client for which a call with this id was sent within the last minute, if any.
+    std::optional<ClientId> clientOf(std::string_view requestId, Timestamp now);
+    std::size_t size() const { return lastSends_.size(); }
 
 private:
     struct Entry {
@@ -33,11 +34,16 @@
         Timestamp sentAt;
     };
 
+    struct Send {
+        Timestamp sentAt;
+        ClientId client;
+    };
+
     void forgetOld(Timestamp now);
 
     std::size_t capacity_;
-    std::unordered_map<std::size_t, Timestamp> lastSentAt_;  ///< by the hash of the id
-    std::deque<Entry> entries_;                              ///< in the order of their times
+    std::unordered_map<std::size_t, Send> lastSends_;  ///< by the hash of the id
+    std::deque<Entry> entries_;                        ///< in the order of their times
 };
 
 }  // namespace arrowstile
--- a/src/net/client_connections.cpp
+++ b/src/net/client_connections.cpp
@@ -118,7 +118,7 @@
         ApiCall call;
         auto error = parseApiCall(command, context_.startDocument.settings, call);
         if (error.empty() && pendingCalls_.hasRequestId(call.requestId)) error = "this id is open";
-        if (error.empty() && sentRequestIds_.contains(call.requestId, context_.clock.now()))
+        if (error.empty() && mayHaveRunForDepartedClient(call.requestId))
             error = "a call with this id may have run";
         if (error.empty() &&
             pendingCalls_.textBytes() + call.textBytes() > context_.limits.maxBufferedBytesPerKind) {
@@ -204,6 +204,15 @@
     }
 }
 
+/// Whether a call with this id, which must not run twice, was sent to a worker for a client that has left
+/// since.
+bool ClientConnections::mayHaveRunForDepartedClient(const std::string &requestId) {
+    const auto client = sentRequestIds_.clientOf(requestId, context_.clock.now());
+    if (!client) return false;
+    const auto found = connections_.find(*client);
+    return found == connections_.end() || found->second->tcp->hasPeerLeft();
+}
+
 bool ClientConnections::isClientPresent(ClientId id) {
     const auto found = connections_.find(id);
     if (found == connections_.end()) return false;
--- a/src/net/client_connections.hpp
+++ b/src/net/client_connections.hpp
@@ -62,6 +62,7 @@
     void updateReadPauses();
     void checkUnreadConnections(Timestamp now);
     void handleCommand(Connection &connection, const resp::Command &command);
+    bool mayHaveRunForDepartedClient(const std::string &requestId);
     void closeConnection(ClientId id);
     void continuePlannedStop();
     void answerRemainingCalls();
--- a/src/net/core/pending_calls.hpp
+++ b/src/net/core/pending_calls.hpp
@@ -14,8 +14,6 @@
 
 namespace arrowstile {
 
-/// A client's connection.
-using ClientId = Id<struct ClientTag, std::uint64_t>;
 /// Position of an answer among all answers of one connection, counted from 0.
 using AnswerSlot = Id<struct AnswerSlotTag, std::uint64_t>;
 
--- a/src/net/core/worker_addresses.cpp
+++ b/src/net/core/worker_addresses.cpp
@@ -1,13 +1,11 @@
 #include "worker_addresses.hpp"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace arrowstile {
 
 DiscoveryUpdate WorkerAddresses::resolve(DiscoveryUpdate update) {
-    ++lastUpdateNumber_;
     if (update.isSnapshot) {
         listings_.clear();
         workersByAddress_.clear();
@@ -39,23 +37,21 @@
     workersByAddress_[listing.address].erase(worker.entry.worker);
     if (!worker.address.empty()) listing.address = worker.address;
     listing.entry = worker.entry;
-    listing.updateNumber = lastUpdateNumber_;
     workersByAddress_[listing.address].insert(worker.entry.worker);
 }
 
 /// Finds out anew which workers at an address have lost it, and returns those for which that has changed.
 std::set<WorkerId> WorkerAddresses::updateDisplaced(const std::string &address) {
-    const auto claimOf = [](const Listing &of) { return std::tuple(of.entry.startedAt, of.updateNumber); };
     const std::set<WorkerId> &workers = workersByAddress_.at(address);
-    auto bestClaim = claimOf({});
+    Timestamp latestStart{};
     for (const WorkerId id : workers) {
-        const Listing &listing = listings_.at(id);
-        if (listing.entry.state == WorkerState::ready) bestClaim = std::max(bestClaim, claimOf(listing));
+        const WorkerEntry &entry = listings_.at(id).entry;
+        if (entry.state == WorkerState::ready) latestStart = std::max(latestStart, entry.startedAt);
     }
     std::set<WorkerId> changed;
     for (const WorkerId id : workers) {
         Listing &listing = listings_.at(id);
-        const bool isDisplaced = !address.empty() && claimOf(listing) < bestClaim;
+        const bool isDisplaced = !address.empty() && listing.entry.startedAt < latestStart;
         if (std::exchange(listing.isDisplaced, isDisplaced) != isDisplaced) changed.insert(id);
     }
     return changed;
--- a/src/net/core/worker_addresses.hpp
+++ b/src/net/core/worker_addresses.hpp
@@ -25,7 +25,6 @@
     struct Listing {
         WorkerEntry entry;
         std::string address;
-        std::uint64_t updateNumber = 0;  ///< of the update that listed it last
         bool isDisplaced = false;
     };
 
@@ -35,7 +34,6 @@
 
     std::map<WorkerId, Listing> listings_;
     std::map<std::string, std::set<WorkerId>> workersByAddress_;
-    std::uint64_t lastUpdateNumber_ = 0;
 };
 
 }  // namespace arrowstile
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -215,7 +215,7 @@
     const PendingCall *pending = pendingCalls_.find(call);
     if (pending == nullptr || !clients_.isClientPresent(pending->client)) return nullptr;
     const Route &route = context_.startDocument.settings.engine.routes[pending->call.event.route.value];
-    sentRequestIds_.add(pending->call.requestId, route.effect, context_.clock.now());
+    sentRequestIds_.add(pending->call.requestId, route.effect, pending->client, context_.clock.now());
     return &pending->call;
 }
 
--- a/src/sent_request_ids.cpp
+++ b/src/sent_request_ids.cpp
@@ -12,24 +12,26 @@
 
 }  // namespace
 
-void SentRequestIds::add(std::string_view requestId, Effect effect, Timestamp now) {
+void SentRequestIds::add(std::string_view requestId, Effect effect, ClientId client, Timestamp now) {
     if (effect == Effect::idempotent) return;
     const std::size_t idHash = hashOf(requestId);
-    lastSentAt_[idHash] = now;
+    lastSends_[idHash] = {now, client};
     entries_.push_back({idHash, now});
     forgetOld(now);
 }
 
-bool SentRequestIds::contains(std::string_view requestId, Timestamp now) {
+std::optional<ClientId> SentRequestIds::clientOf(std::string_view requestId, Timestamp now) {
     forgetOld(now);
-    return lastSentAt_.contains(hashOf(requestId));
+    const auto found = lastSends_.find(hashOf(requestId));
+    return found == lastSends_.end() ? std::nullopt : std::optional(found->second.client);
 }
 
 void SentRequestIds::forgetOld(Timestamp now) {
     while (!entries_.empty() && (entries_.size() > capacity_ || now - entries_.front().sentAt > kRetention)) {
-        const auto found = lastSentAt_.find(entries_.front().idHash);
+        const auto found = lastSends_.find(entries_.front().idHash);
         // An id that was sent again later stays for that.
-        if (found != lastSentAt_.end() && found->second == entries_.front().sentAt) lastSentAt_.erase(found);
+        if (found != lastSends_.end() && found->second.sentAt == entries_.front().sentAt)
+            lastSends_.erase(found);
         entries_.pop_front();
     }
 }
--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -479,7 +479,7 @@
 }
 
 // Guards against work that is meant for a worker going to another process at its address.
-TEST_CASE("of workers at one address the one that started last, or was listed last, has it") {
+TEST_CASE("of workers at one address the one that started last has it") {
     const auto listed = [](unsigned id, const char *address, int startedAtMs,
                            WorkerState state = WorkerState::ready) {
         DiscoveredWorker worker;
@@ -502,9 +502,10 @@
     // The old one is listed again, and then drains: it has lost the address all the same.
     CHECK(goneIn(addresses.resolve({3, false, {listed(1, "a", 0)}})) == Ids{1});
     CHECK(goneIn(addresses.resolve({4, false, {listed(1, "a", 0, WorkerState::draining)}})) == Ids{1});
-    // Of equal starts the later listing counts; a worker that is not ready takes no address.
-    CHECK(goneIn(addresses.resolve({5, false, {listed(4, "b", 0, WorkerState::draining)}})).empty());
-    CHECK(goneIn(addresses.resolve({6, false, {listed(4, "b", 0)}})) == Ids{2});
+    // A worker that is not ready takes no address, nor one that did not start later.
+    CHECK(goneIn(addresses.resolve({5, false, {listed(4, "b", 500, WorkerState::draining)}})).empty());
+    CHECK(goneIn(addresses.resolve({6, false, {listed(5, "b", 0)}})).empty());
+    CHECK(goneIn(addresses.resolve({6, false, {listed(4, "b", 500)}})) == Ids{2, 5});
     // The address is free again.
     const DiscoveryUpdate freed = addresses.resolve({7, false, {listed(3, "a", 500, WorkerState::gone)}});
     REQUIRE(freed.workers.size() == 2);
--- a/tests/test_sent_request_ids.cpp
+++ b/tests/test_sent_request_ids.cpp
@@ -11,24 +11,25 @@
 
 TEST_CASE("ids of calls that must not run twice are kept for a minute from when they were last sent") {
     SentRequestIds ids(10);
-    ids.add("a", Effect::nonIdempotent, seconds(100));
-    ids.add("b", Effect::tokened, seconds(110));
-    ids.add("c", Effect::idempotent, seconds(110));
-    CHECK((ids.contains("a", seconds(110)) && ids.contains("b", seconds(110))));
-    CHECK_FALSE(ids.contains("c", seconds(110)));
-    ids.add("b", Effect::tokened, seconds(150));
-    CHECK(ids.contains("a", seconds(160)));
-    CHECK_FALSE(ids.contains("a", seconds(161)));
-    CHECK(ids.contains("b", seconds(210)));
-    CHECK_FALSE(ids.contains("b", seconds(211)));
+    ids.add("a", Effect::nonIdempotent, ClientId{7}, seconds(100));
+    ids.add("b", Effect::tokened, ClientId{8}, seconds(110));
+    ids.add("c", Effect::idempotent, ClientId{7}, seconds(110));
+    CHECK(ids.clientOf("a", seconds(110)) == ClientId{7});
+    CHECK(ids.clientOf("b", seconds(110)) == ClientId{8});
+    CHECK_FALSE(ids.clientOf("c", seconds(110)));
+    ids.add("b", Effect::tokened, ClientId{9}, seconds(150));
+    CHECK(ids.clientOf("a", seconds(160)));
+    CHECK_FALSE(ids.clientOf("a", seconds(161)));
+    CHECK(ids.clientOf("b", seconds(210)) == ClientId{9});
+    CHECK_FALSE(ids.clientOf("b", seconds(211)));
     CHECK(ids.size() == 0);
 }
 
 TEST_CASE("no more ids are kept than the capacity allows, the latest ones") {
     SentRequestIds ids(100);
     for (int index = 0; index < 1000; ++index)
-        ids.add("id" + std::to_string(index), Effect::nonIdempotent, seconds(1));
+        ids.add("id" + std::to_string(index), Effect::nonIdempotent, ClientId{7}, seconds(1));
     CHECK(ids.size() == 100);
-    CHECK(ids.contains("id900", seconds(1)));
-    CHECK_FALSE(ids.contains("id899", seconds(1)));
+    CHECK(ids.clientOf("id900", seconds(1)));
+    CHECK_FALSE(ids.clientOf("id899", seconds(1)));
 }
