A planned stop is not held up by a client that fetches nothing

Since answers count as owed until the client's machine has confirmed them, a stop waited 1 s from its last answers on for a client that takes nothing, which goes beyond the earliest kill; calls of others would be found unanswered by it. How long a client has taken nothing is now followed from the start of the stop.

--- a/src/net/client_planned_stop.cpp
+++ b/src/net/client_planned_stop.cpp
@@ -83,6 +83,8 @@
     if (now - lastAcceptedAt_ > kNoNewClientPeriod || stoppingFor > kMaxAcceptPeriod) closeListener();
     std::erase_if(connections_, [&](const auto &entry) {
         Connection &connection = *entry.second;
+        // From the start on, so that at the end a client that has taken nothing all the time holds up nobody.
+        connection.timeWithoutFetching(now);
         if (connection.isWriteShutdown) return now - connection.lastActiveAt > kCloseGracePeriod;
         if (connection.isIdle()) connection.shutdownWrite(now);
         return false;
--- a/tests/test_gateway_answers.cpp
+++ b/tests/test_gateway_answers.cpp
@@ -362,7 +362,19 @@
     checkUnreadAnswers(clients);
 }
 
-// Guards against the same where a connection is closed for another client.
+// Guards against a client that fetches nothing holding up the stop until the kill, 1.7 s after the signal,
+// which would find calls of others unanswered.
+TEST_CASE("issue 44: a planned stop ends before the kill though a client fetches nothing") {
+    GatewayFixture fixture({.memoryMb = 192});
+    fixture.makeReadyAndConnect();
+    WorkerStandIn worker(fixture.workerListener, kLongValueBytes);
+    const std::vector<Socket> clients = clientsWithUnreadAnswers(fixture, 8);
+    const auto stopBegunAt = std::chrono::steady_clock::now();
+    fixture.stopAndJoin();
+    CHECK(std::chrono::steady_clock::now() - stopBegunAt < milliseconds(1700));
+}
+
+// Guards against answers that are lost where a connection is closed for another client.
 TEST_CASE("issue 44: a client that fetches its answers slowly is not closed for a crowd") {
     GatewayFixture fixture({.maxSockets = 96, .memoryMb = 192});
     fixture.makeReadyAndConnect();
