Lists with thousands of workers are taken in as fast as before at the start

The JSON reader is as before again; the bound on the text of a list stays. WorkerAddresses looks only at workers of the update and at addresses that several share.

--- a/src/net/core/discovery_update.cpp
+++ b/src/net/core/discovery_update.cpp
@@ -46,39 +46,27 @@
     std::erase_if(idsByName_, [&](const auto &known) { return !namesById_.contains(known.second); });
 }
 
-DiscoveredWorker DiscoveryParser::readWorker(const nlohmann::json &endpoint) {
-    DiscoveredWorker worker;
-    worker.entry.worker = idOf(endpoint.at("name").get<std::string>());
-    worker.address = endpoint.value("address", "");
-    worker.entry.zone = indexOf<ZoneId>(settings_.zoneNames, endpoint.value("zone", ""));
-    worker.entry.type = indexOf<WorkerTypeId>(settings_.workerTypeNames, endpoint.value("type", ""));
-    worker.entry.group.value = static_cast<std::uint16_t>(endpoint.value("group", 0u));
-    worker.entry.state = stateOf(endpoint.value("status", ""));
-    worker.entry.weight = endpoint.value("weight", 1.0);
-    const auto startMs =
-        std::clamp<std::int64_t>(endpoint.value("since_ms", std::int64_t{0}), 0, kMaxStartMs);
-    worker.entry.startedAt = std::chrono::milliseconds(startMs);
-    return worker;
-}
-
 DiscoveryUpdate DiscoveryParser::parse(std::string_view text) {
     using nlohmann::json;
     DiscoveryUpdate update;
-    bool isInEndpoints = false;
-    // Takes each entry out as soon as it is read, so that the whole list never stands in memory as JSON
-    // values.
-    const auto takeEntryOut = [&](int depth, json::parse_event_t event, json &parsed) {
-        if (event == json::parse_event_t::key && depth == 1) isInEndpoints = parsed == "endpoints";
-        const bool isEntry = isInEndpoints && depth == 2 && event == json::parse_event_t::object_end;
-        if (isEntry) update.workers.push_back(readWorker(parsed));
-        return !isEntry;
-    };
     try {
-        const json document = json::parse(text, takeEntryOut);
+        const json document = json::parse(text);
         update.version = document.at("index").get<std::uint64_t>();
         update.isSnapshot = document.value("snapshot", false);
-        // What is left in there is no entry.
-        for (const json &endpoint : document.at("endpoints")) update.workers.push_back(readWorker(endpoint));
+        for (const json &endpoint : document.at("endpoints")) {
+            DiscoveredWorker worker;
+            worker.entry.worker = idOf(endpoint.at("name").get<std::string>());
+            worker.address = endpoint.value("address", "");
+            worker.entry.zone = indexOf<ZoneId>(settings_.zoneNames, endpoint.value("zone", ""));
+            worker.entry.type = indexOf<WorkerTypeId>(settings_.workerTypeNames, endpoint.value("type", ""));
+            worker.entry.group.value = static_cast<std::uint16_t>(endpoint.value("group", 0u));
+            worker.entry.state = stateOf(endpoint.value("status", ""));
+            worker.entry.weight = endpoint.value("weight", 1.0);
+            const auto startMs =
+                std::clamp<std::int64_t>(endpoint.value("since_ms", std::int64_t{0}), 0, kMaxStartMs);
+            worker.entry.startedAt = std::chrono::milliseconds(startMs);
+            update.workers.push_back(std::move(worker));
+        }
         removeGoneWorkers(update);
     } catch (const json::exception &error) {
         throw ConfigError(std::string("list of workers: ") + error.what());
--- a/src/net/core/discovery_update.hpp
+++ b/src/net/core/discovery_update.hpp
@@ -4,7 +4,6 @@
 
 #include <arrowstile/events.hpp>
 #include <map>
-#include <nlohmann/json_fwd.hpp>
 #include <settings.hpp>
 #include <string>
 #include <string_view>
@@ -42,7 +41,6 @@
     std::size_t knownWorkerCount() const { return namesById_.size(); }
 
 private:
-    DiscoveredWorker readWorker(const nlohmann::json &endpoint);
     WorkerId idOf(const std::string &name);
     void removeGoneWorkers(const DiscoveryUpdate &update);
 
--- a/src/net/core/worker_addresses.hpp
+++ b/src/net/core/worker_addresses.hpp
@@ -2,8 +2,8 @@
 /// Which listed worker an address belongs to. Without I/O.
 #pragma once
 
-#include <map>
 #include <set>
+#include <unordered_map>
 
 #include "discovery_update.hpp"
 
@@ -29,11 +29,15 @@
     };
 
     void takeIn(const DiscoveredWorker &worker);
-    void forgetGoneWorkers();
-    std::set<WorkerId> updateDisplaced(const std::string &address);
-
-    std::map<WorkerId, Listing> listings_;
-    std::map<std::string, std::set<WorkerId>> workersByAddress_;
+    void removeFromAddress(WorkerId worker, const std::string &address);
+    void updateDisplaced(const std::string &address, std::set<WorkerId> &changed);
+    void forgetGoneWorkers(const DiscoveryUpdate &update);
+
+    std::unordered_map<std::uint32_t, Listing> listings_;  ///< by the worker's id
+    std::unordered_map<std::string, std::vector<WorkerId>> workersByAddress_;
+    /// Addresses of several workers, and those that a worker has left, in the update that is taken in.
+    std::set<std::string> sharedAddresses_;
+    std::size_t displacedCount_ = 0;
 };
 
 }  // namespace arrowstile
--- a/tests/test_core.cpp
+++ b/tests/test_core.cpp
@@ -511,6 +511,8 @@
     REQUIRE(freed.workers.size() == 2);
     CHECK(freed.workers[1].entry.worker == WorkerId{1});
     CHECK(freed.workers[1].entry.state == WorkerState::draining);
+    // A worker that has lost its address moves to another.
+    CHECK(goneIn(addresses.resolve({8, false, {listed(2, "c", 0)}})).empty());
     // Workers without an address, and equal claims in one list, displace nobody.
     CHECK(goneIn(addresses.resolve({8, true, {listed(1, "", 1), listed(2, "", 2)}})).empty());
     CHECK(goneIn(addresses.resolve({9, true, {listed(1, "a", 1), listed(2, "a", 1)}})).empty());
