--- a/tests/rehearsal/long_answers.py
+++ b/tests/rehearsal/long_answers.py
@@ -84,13 +84,17 @@
                 while (await reader.readline()).strip():
                     pass
                 if b"timeout_ms=" in request:
-                    await asyncio.sleep(min(60, int(request.split(b"timeout_ms=")[1].split(b" ")[0]) / 1000))
+                    await self.wait_for_change(min(60, int(request.split(b"timeout_ms=")[1].split(b" ")[0]) / 1000))
                 body = answer(request)
                 writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
         except ConnectionError:
             pass
         writer.close()
 
+    async def wait_for_change(self, timeout_s):
+        """Waits until a watch of the list is to be answered."""
+        await asyncio.sleep(timeout_s)
+
     def fall_silent(self):
         """Silences the worker that has served the most calls."""
         self.silent_ports.add(max(self.ports, key=lambda port: self.served[port]))
