A planned stop drains connections: no call is taken from then on, so that each one ends

Callers lost calls that a stopping gateway had taken: it was still reading and sending new ones when it was killed.

Cause: each connection was closed when it rested, and a client that has several calls open never lets it rest. Even after all pending calls were answered as errored further ones were taken, so the last phase waited for a quiet moment as well.

Change: src/planned_stop.cpp (no I/O, table tests) decides. From 0.5 s after the signal on no call is taken. A connection is left unread for up to 50 ms, in which its pending calls usually end; then it is shut down between two answers, and what crosses that is sent again by its client. If a call takes longer, commands are read and refused (-BUSY) until it is answered, also those that were held in a pause. Connections accepted late are served for 100 ms first, the listener closes after 0.6 s at the latest (formerly 0.9 s). Pending calls are answered 0.47 s after the longest client timeout, and the process ends 0.53 s after it in any case, which leaves 0.15 s for a hold-up before the earliest kill. Why it works: all of these times follow from the signal alone, and what a drain waits for can only become less.

The log tells how a stop goes (begin, listener, connections left by reason, calls answered), INFO has stop_* counts.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MEMORY_PLAYS = long-values slow-writers half-requests request-and-byte many-fields flood-ping \
 	flood-new-customers flood-ceiling endless-lists pipelined-long unread-answers slow-crowd
 
-.PHONY: build lab test memory late soak lint run clean
+.PHONY: build lab test memory late stops soak lint run clean
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
@@ -34,6 +34,11 @@
 		python3 tests/rehearsal/late_connections.py build/arrowstile $$play || exit 1; \
 	done
 
+# Plays planned stops whose clients go on using their connections until the kill, about a minute and a half.
+stops: build
+	python3 tests/rehearsal/planned_stop.py build/arrowstile
+	python3 tests/rehearsal/planned_stop.py build/arrowstile --deadline-ms 600 --seed 2
+
 # Plays days drawn from seeds 1 to 50 against the program, about a quarter of an hour.
 soak: build
 	python3 tests/rehearsal/soak.py build/arrowstile --seed 1 --days 50
--- a/include/arrowstile/answer_memory.hpp
+++ b/include/arrowstile/answer_memory.hpp
@@ -14,6 +14,7 @@
     /// Encoded answers that wait for an earlier answer, or for the client to fetch what is before them.
     std::size_t waitingBytes = 0;
     std::size_t unsentBytes = 0;  ///< handed to the connection, but not taken by the system yet
+    bool isRefusing = false;      ///< further calls are refused at once, so their number is not limited
 
     bool operator==(const AnswerUsage &) const = default;
 };
--- a/src/answer_memory.cpp
+++ b/src/answer_memory.cpp
@@ -55,13 +55,14 @@
 }
 
 bool AnswerMemory::mustPauseReading(const AnswerUsage &usage) const {
-    if (usage.pendingCommands >= kMaxPendingCommands || usage.unsentBytes >= kMaxUnsentBytes) return true;
+    if (usage.pendingCommands >= kMaxPendingCommands && !usage.isRefusing) return true;
+    if (usage.unsentBytes >= kMaxUnsentBytes) return true;
     return usage.pendingCommands > 0 && claimedBytes(usage) >= freeBytes();
 }
 
 bool AnswerMemory::mayResumeReading(const AnswerUsage &usage) const {
-    if (usage.pendingCommands > kMaxPendingCommands / 2 || usage.unsentBytes > kUnsentLowWaterBytes)
-        return false;
+    if (usage.pendingCommands > kMaxPendingCommands / 2 && !usage.isRefusing) return false;
+    if (usage.unsentBytes > kUnsentLowWaterBytes) return false;
     return usage.pendingCommands == 0 || claimedBytes(usage) <= freeBytes() / 2;
 }
 
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -12,7 +12,7 @@
 
 ClientConnections::Connection::Connection(ClientConnections &connections, ClientId clientId, Timestamp now,
                                           Timestamp inputSince)
-    : owner(connections), id(clientId), lastActiveAt(now), unreadSince(inputSince) {
+    : owner(connections), id(clientId), acceptedAt(now), lastActiveAt(now), unreadSince(inputSince) {
     ++owner.nonCallingCount_;
 }
 
@@ -82,7 +82,8 @@
 
 void ClientConnections::Connection::readReservedCommand(Timestamp now) {
     lastActiveAt = now;
-    if (!isReadPaused && !isEnding) tcp->setInputMode(InputMode::deliver);
+    const bool isReading = !isReadPaused && !isEnding && drainStep != DrainStep::leaveUnread;
+    if (isReading) tcp->setInputMode(InputMode::deliver);
 }
 
 bool ClientConnections::Connection::mayHoldInput(std::size_t heldBytes) {
@@ -115,17 +116,16 @@
     return sendProgress.timeWithoutProgress(now, tcp->unsentBytes(), tcp->sentBytes());
 }
 
-Duration ClientConnections::Connection::timeWithoutFetching(Timestamp now) {
-    const std::uint64_t unconfirmedBytes = tcp->unconfirmedBytes();
-    return fetchProgress.timeWithoutProgress(now, tcp->unsentBytes() + unconfirmedBytes,
-                                             tcp->sentBytes() - unconfirmedBytes);
-}
-
 void ClientConnections::Connection::queueAnswer(std::string text) {
     answerQueue.fillSlot(answerQueue.reserveSlot(), std::move(text));
     owner.unflushedConnections_.insert(id);
 }
 
+void ClientConnections::Connection::queueRefusal() {
+    answerQueue.appendReady(encodeRateLimitedAnswer(std::nullopt));
+    owner.unflushedConnections_.insert(id);
+}
+
 void ClientConnections::Connection::sendReadyAnswers() {
     while (answerQueue.hasReady() && tcp->unsentBytes() < kMaxUnsentBytes) {
         std::string text;
@@ -149,11 +149,39 @@
     isEnding = true;
     lastActiveAt = now;
     tcp->shutdownWrite();
+    tcp->setInputMode(InputMode::discard);
+}
+
+void ClientConnections::Connection::continueDrain(Timestamp now, Timestamp startAt) {
+    if (isEnding) return;
+    const bool hasHeldInput = isReadPaused && tcp->unconsumedBytes() > 0;
+    const DrainState state{answerQueue.unansweredCount() > 0, isOwedAnswers(), hasHeldInput,
+                           tcp->hasReadAllInput()};
+    const DrainStep step = drain.next(now, startAt, state);
+    if (std::exchange(drainStep, step) == step) return;
+    switch (step) {
+        case DrainStep::takeCommands: break;
+        case DrainStep::leaveUnread: return leaveInputUnread();
+        case DrainStep::refuseCommands: return readCommandsToRefuse();
+        case DrainStep::end: ++owner.context_.metrics.stopConnectionsEnded; return shutdownWrite(now);
+    }
+}
+
+void ClientConnections::Connection::leaveInputUnread() {
+    if (owner.commandReservations_.isWaiting(id)) return owner.refuseIncompleteCommand(*this);
+    unreadSince = std::min(unreadSince, owner.context_.lastReadAt);
+    tcp->setInputMode(InputMode::wait);
+}
+
+void ClientConnections::Connection::readCommandsToRefuse() {
+    if (owner.commandReservations_.isWaiting(id)) return owner.refuseIncompleteCommand(*this);
+    updateReadPause();
+    if (!isReadPaused && !isEnding) tcp->setInputMode(InputMode::deliver);
 }
 
 AnswerUsage ClientConnections::Connection::answerUsage() const {
     return {answerQueue.pendingCount(), answerQueue.unansweredCount(), answerQueue.answerBytes(),
-            tcp->unsentBytes()};
+            tcp->unsentBytes(), isDraining()};
 }
 
 void ClientConnections::Connection::updateAnswerUsage() {
@@ -166,7 +194,7 @@
 
 void ClientConnections::Connection::updateReadPause() {
     updateAnswerUsage();
-    if (isEnding) return;
+    if (isEnding || drainStep == DrainStep::leaveUnread) return;
     const AnswerMemory &memory = owner.answerMemory_;
     if (isReadPaused ? memory.mayResumeReading(countedUsage) : memory.mustPauseReading(countedUsage)) {
         setReadPaused(!isReadPaused);
@@ -203,8 +231,9 @@
         tcp->setInputMode(InputMode::hold);
         return;
     }
-    // Long held input is handled in parts, so that it does not hold up the other clients.
-    if (tcp->unconsumedBytes() > kHeldPartBytes) {
+    // Long held input is handled in parts, so that it does not hold up the other clients. Refusing it is
+    // quick.
+    if (tcp->unconsumedBytes() > kHeldPartBytes && !isDraining()) {
         if (owner.heldPartsLeft_ == 0) {
             isReadPaused = true;
             return;
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -3,6 +3,8 @@
 /// by its source files only.
 #pragma once
 
+#include <arrowstile/planned_stop.hpp>
+
 #include "client_connections.hpp"
 #include "core/transfer_progress.hpp"
 
@@ -50,12 +52,11 @@
 
     /// For how long the system has taken nothing of the answers that are ready. Called periodically.
     Duration timeWithoutProgress(Timestamp now);
-    /// For how long the client's machine has confirmed nothing of the answers that are ready. Called
-    /// periodically.
-    Duration timeWithoutFetching(Timestamp now);
 
     /// Queues an answer that needs no worker, behind those to earlier commands.
     void queueAnswer(std::string text);
+    /// The same for a call that a planned stop refuses.
+    void queueRefusal();
     /// Sends the answers that are in order, as far as the system takes them and a little beyond.
     void sendReadyAnswers();
     /// Gives `answer` behind the answers to earlier commands, and reads no further command.
@@ -63,6 +64,10 @@
     /// Closes the sending direction only. The client sees the end of the stream between two answers, and
     /// sends the commands that it wrote in the meantime again, on another connection.
     void shutdownWrite(Timestamp now);
+    /// Takes the next step of the drain in a planned stop. `startAt` is when the drain begins.
+    void continueDrain(Timestamp now, Timestamp startAt);
+    /// Whether the drain has begun: no call is taken any more.
+    bool isDraining() const { return drainStep != DrainStep::takeCommands; }
 
     /// Brings this connection's part of the memory for answers up to date.
     void updateAnswerUsage();
@@ -73,15 +78,17 @@
 
     ClientConnections &owner;
     const ClientId id;
+    const Timestamp acceptedAt;
     TcpConnection::Ptr tcp;
     AnswerQueue answerQueue;
     Timestamp lastActiveAt;
     /// Until all input was read once, and after a pause in reading until all of it was read again: the
     /// earliest time at which input may have arrived. Otherwise Timestamp::max().
     Timestamp unreadSince;
-    TransferProgress sendProgress;   ///< of output that the system takes
-    TransferProgress fetchProgress;  ///< of output that the client's machine confirms
-    AnswerUsage countedUsage;        ///< as last passed to the memory that all connections share
+    TransferProgress sendProgress;  ///< of output that the system takes
+    ConnectionDrain drain;
+    DrainStep drainStep = DrainStep::takeCommands;  ///< that is in effect
+    AnswerUsage countedUsage;  ///< as last passed to the memory that all connections share
     std::size_t incompleteCommandBytes = 0;
     std::size_t heldInputBytes = 0;  ///< read in a pause or before, for commands that are not read yet
     bool hasBeenRead = false;        ///< something has been received
@@ -96,6 +103,8 @@
     void countUnconsumedInput(std::size_t restBytes);
     void waitForMemory();
     AnswerUsage answerUsage() const;
+    void leaveInputUnread();
+    void readCommandsToRefuse();
     bool readHeldPart();
     void setReadPaused(bool paused);
 
--- a/src/net/client_connections.cpp
+++ b/src/net/client_connections.cpp
@@ -129,6 +129,12 @@
         if (error.empty() && pendingCalls_.hasRequestId(call.requestId)) error = "this id is open";
         if (error.empty() && mayHaveRunForDepartedClient(call.requestId))
             error = "a call with this id may have run";
+        if (error.empty() && connection.isDraining()) {
+            ++context_.metrics.callsRateLimited;
+            ++context_.metrics.stopCallsRefused;
+            connection.queueRefusal();
+            return;
+        }
         if (error.empty() &&
             pendingCalls_.textBytes() + call.textBytes() > context_.limits.maxCallTextBytes) {
             ++context_.metrics.callsRateLimited;
@@ -202,8 +208,9 @@
 void ClientConnections::flushConnection(Connection &connection) {
     connection.sendReadyAnswers();
     connection.updateReadPause();
-    const bool mayEnd = connection.isEnding || (isClosingIdle_ && connection.isIdle());
-    if (mayEnd && !connection.isOwedAnswers()) connection.shutdownWrite(context_.clock.now());
+    const Timestamp now = context_.clock.now();
+    if (connection.isEnding && !connection.isOwedAnswers()) connection.shutdownWrite(now);
+    if (connection.isDraining()) continueDrain(connection, now);
 }
 
 /// Reads again from connections whose share of the memory has grown because others take up less.
@@ -251,7 +258,8 @@
     unreadCheckedAt_ = now;
     std::vector<ClientId> unread;
     for (const auto &[id, connection] : connections_)
-        if (connection->isReadPaused || connection->isEnding) unread.push_back(id);
+        if (connection->isReadPaused || connection->isEnding || connection->isDraining())
+            unread.push_back(id);
     for (const ClientId id : unread) {
         if (checkPresence(id) == ClientPresence::gone) continue;
         Connection &connection = *connections_.at(id);
--- a/src/net/client_connections.hpp
+++ b/src/net/client_connections.hpp
@@ -4,6 +4,7 @@
 
 #include <arrowstile/answer_memory.hpp>
 #include <arrowstile/input_memory.hpp>
+#include <arrowstile/planned_stop.hpp>
 #include <arrowstile/request_start.hpp>
 #include <arrowstile/sent_request_ids.hpp>
 #include <map>
@@ -40,11 +41,11 @@
     ClientPresence checkPresence(ClientId id);
     /// Sends all answers that are due and enforces the limits on memory.
     void flush();
-    /// Begins a planned stop: for a while new clients are still accepted, then each connection is closed as
-    /// soon as it is idle. Repeated calls have no effect.
+    /// Begins a planned stop: for a while new clients are still accepted and served, then each connection is
+    /// drained (see ConnectionDrain). Repeated calls have no effect.
     void beginPlannedStop();
     /// Whether a planned stop is complete.
-    bool isStopped() const { return isStopping_ && !listener_ && connections_.empty(); }
+    bool isStopped() const { return stop_ && !listener_ && connections_.empty(); }
 
 private:
     struct Connection;
@@ -71,8 +72,10 @@
     bool mayHaveRunForDepartedClient(const std::string &requestId);
     void closeConnection(ClientId id);
     void continuePlannedStop();
-    void answerRemainingCalls();
-    void closeAnsweredConnections(Timestamp now);
+    void continueDrain(Connection &connection, Timestamp now);
+    void answerPendingCalls(Timestamp now);
+    void endRemainingConnections();
+    void logRemainingConnections(Timestamp now);
     Duration longestClientTimeout() const;
 
     ServerContext &context_;
@@ -92,10 +95,9 @@
     std::set<ClientId> unflushedConnections_;
     std::uint64_t lastClientId_ = 0;
     bool isReady_ = false;
-    bool isStopping_ = false;     ///< a planned stop has begun
-    bool isClosingIdle_ = false;  ///< the planned stop closes connections when they are idle
-    Timestamp stopStartedAt_{};
-    Timestamp lastOwedAt_{};  ///< at the end of a planned stop: when answers were last waited for
+    std::optional<PlannedStop> stop_;             ///< set when a planned stop has begun
+    std::optional<Timestamp> pendingAnsweredAt_;  ///< when the stop has answered pending calls last
+    Timestamp nextStopLogAt_{};
     Timestamp lastAcceptedAt_{};
     Timestamp unreadCheckedAt_{};  ///< when checkUnreadConnections() last looked
 };
--- a/src/net/client_planned_stop.cpp
+++ b/src/net/client_planned_stop.cpp
@@ -1,5 +1,6 @@
 /// \file
-/// The planned stop of ClientConnections: closes connections as their clients have their answers.
+/// The planned stop of ClientConnections: carries out what PlannedStop and ConnectionDrain decide, and tells
+/// in the log how it goes.
 #include <algorithm>
 
 #include "client_connection.hpp"
@@ -9,93 +10,112 @@
 
 using std::chrono::milliseconds;
 
-/// Length of the first phase of a planned stop, in which no connection is closed for being idle. New
-/// connections still arrive for a while, so a client whose connection is closed would only come back.
-constexpr Duration kStopDelay = milliseconds(500);
-/// After the first phase, the listening socket is closed once no client has connected for this long.
-constexpr Duration kNoNewClientPeriod = milliseconds(200);
-/// The listening socket is closed this long after the start of a planned stop, even if clients still connect.
-/// Ordinary clients stop connecting after about half a second; clients that connect without end must not hold
-/// up the stop.
-constexpr Duration kMaxAcceptPeriod = milliseconds(900);
-constexpr Duration kStopPollInterval = milliseconds(20);
+constexpr Duration kStopPollInterval = milliseconds(10);
+/// While connections are left, the log says this often what they wait for.
+constexpr Duration kStopLogInterval = milliseconds(500);
 
-// The process is killed 0.7 s after the longest client timeout at the earliest, where that timeout counts as
-// 3 s at most, and the planned stop ends before that unless answers are still being fetched. Single clients
-// may wait for longer, so calls can still be pending kStopMargin after the timeout. They are answered then.
-constexpr Duration kMaxClientTimeout = milliseconds(3000);
-constexpr Duration kStopMargin = milliseconds(550);
-/// How long clients have to fetch the last answers once the system has taken them.
-constexpr Duration kFinalAnswerPeriod = milliseconds(60);
-/// How long the stop waits for a client that takes none of the answers that are ready for it.
-constexpr Duration kFinalFetchTimeout = milliseconds(1000);
+Duration::rep toMilliseconds(Duration duration) {
+    return std::chrono::duration_cast<milliseconds>(duration).count();
+}
 
 }  // namespace
 
 void ClientConnections::beginPlannedStop() {
-    if (std::exchange(isStopping_, true)) return;
-    stopStartedAt_ = context_.clock.now();
-    context_.timers.schedule(stopStartedAt_ + kStopDelay, [this] { continuePlannedStop(); });
+    if (stop_) return;
+    const Timestamp now = context_.clock.now();
+    stop_.emplace(now, longestClientTimeout());
+    nextStopLogAt_ = now + kStopLogInterval;
+    context_.log.info("stopping: ", connections_.size(), " connections, ", pendingCalls_.size(),
+                      " calls pending");
+    context_.timers.schedule(now + kStopPollInterval, [this] { continuePlannedStop(); });
+}
+
+/// The longest time for which clients wait for an answer.
+Duration ClientConnections::longestClientTimeout() const {
+    Duration longestTimeout{};
+    for (const Route &route : context_.startDocument.settings.engine.routes)
+        longestTimeout = std::max(longestTimeout, route.clientTimeout);
+    return longestTimeout;
+}
+
+/// Runs every kStopPollInterval in a planned stop, until all connections are closed. A client that keeps its
+/// side open after the gateway has closed its own is not waited for beyond kCloseGracePeriod.
+void ClientConnections::continuePlannedStop() {
+    const Timestamp now = context_.clock.now();
+    if (listener_ && stop_->mustCloseListener(now, lastAcceptedAt_)) {
+        closeListener();
+        context_.log.info("stop: no connection is accepted any more, ",
+                          toMilliseconds(now - stop_->begunAt()), " ms after its begin");
+    }
+    for (const auto &[id, connection] : connections_) continueDrain(*connection, now);
+    std::erase_if(connections_, [&](const auto &entry) {
+        const Connection &connection = *entry.second;
+        return connection.isWriteShutdown && now - connection.lastActiveAt > kCloseGracePeriod;
+    });
+    if (stop_->mustAnswerPendingCalls(now)) answerPendingCalls(now);
+    if (pendingAnsweredAt_ && stop_->mustEnd(now, *pendingAnsweredAt_)) endRemainingConnections();
+    if (now >= nextStopLogAt_ || isStopped()) logRemainingConnections(now);
+    if (!isStopped()) context_.timers.schedule(now + kStopPollInterval, [this] { continuePlannedStop(); });
+}
+
+void ClientConnections::continueDrain(Connection &connection, Timestamp now) {
+    connection.continueDrain(now, stop_->drainStart(connection.acceptedAt));
 }
 
 /// Answers all pending calls, because the process ends before their clients stop waiting. A try of a call may
 /// be in flight, so the answer is errored, which does not say whether the call ran; a call that got no answer
 /// at all would be lost.
-void ClientConnections::answerRemainingCalls() {
+void ClientConnections::answerPendingCalls(Timestamp now) {
+    std::size_t answeredCount = 0;
     for (const auto &[id, connection] : connections_) {
         for (const CallId call : pendingCalls_.callsOf(id)) {
             sendAnswer(*pendingCalls_.remove(call), encodeErroredAnswer());
-            ++context_.metrics.callsErrored;
             context_.pendingEvents.emplace_back(CallAbandoned{call});
+            ++answeredCount;
         }
     }
+    context_.metrics.callsErrored += answeredCount;
+    context_.metrics.stopCallsErrored += answeredCount;
+    if (answeredCount > 0) context_.log.info("stop: ", answeredCount, " pending calls answered as errored");
+    if (answeredCount > 0 || !pendingAnsweredAt_) pendingAnsweredAt_ = now;
 }
 
-/// Closes all connections kFinalAnswerPeriod after the last answer was handed to the system, and not before
-/// the clients' machines have confirmed them. A client that takes nothing for kFinalFetchTimeout is not
-/// waited for.
-void ClientConnections::closeAnsweredConnections(Timestamp now) {
-    bool isConfirming = false;
+/// Closes all connections, because the process has to end now.
+void ClientConnections::endRemainingConnections() {
+    closeListener();
     for (const auto &[id, connection] : connections_) {
-        if (connection->timeWithoutFetching(now) > kFinalFetchTimeout) continue;
-        if (connection->hasAnswersToSend()) lastOwedAt_ = now;
-        isConfirming = isConfirming || connection->isOwedAnswers();
+        const bool isCut = connection->isOwedAnswers() && !connection->isWriteShutdown;
+        context_.metrics.stopConnectionsCut += isCut;
     }
-    if (isConfirming || now - lastOwedAt_ <= kFinalAnswerPeriod) return;
-    closeListener();
     connections_.clear();
 }
 
-/// The longest time for which clients wait for an answer, as far as it counts for the planned stop.
-Duration ClientConnections::longestClientTimeout() const {
-    Duration longestTimeout{};
-    for (const Route &route : context_.startDocument.settings.engine.routes)
-        longestTimeout = std::max(longestTimeout, route.clientTimeout);
-    return std::min(longestTimeout, kMaxClientTimeout);
-}
-
-/// Runs every kStopPollInterval in a planned stop, until all connections are closed. A client that keeps its
-/// side open after the gateway has closed its own is not waited for beyond kCloseGracePeriod.
-void ClientConnections::continuePlannedStop() {
-    const Timestamp now = context_.clock.now();
-    const Duration stoppingFor = now - stopStartedAt_;
-    isClosingIdle_ = true;
-    if (now - lastAcceptedAt_ > kNoNewClientPeriod || stoppingFor > kMaxAcceptPeriod) closeListener();
-    std::erase_if(connections_, [&](const auto &entry) {
-        Connection &connection = *entry.second;
-        // From the start on, so that at the end a client that has taken nothing all the time holds up nobody.
-        connection.timeWithoutFetching(now);
-        if (connection.isWriteShutdown) return now - connection.lastActiveAt > kCloseGracePeriod;
-        if (connection.isIdle()) connection.shutdownWrite(now);
-        return false;
-    });
-    const Duration answerAfter = longestClientTimeout() + kStopMargin;
-    if (stoppingFor > answerAfter) {
-        lastOwedAt_ = std::max(lastOwedAt_, stopStartedAt_ + answerAfter);
-        answerRemainingCalls();
-        closeAnsweredConnections(now);
+/// Writes what the connections that are left wait for. Each is counted once, by the first reason that holds.
+void ClientConnections::logRemainingConnections(Timestamp now) {
+    nextStopLogAt_ = now + kStopLogInterval;
+    std::size_t awaiting = 0, unfetched = 0, unread = 0, incomplete = 0, closing = 0, inUse = 0;
+    for (const auto &[id, connection] : connections_) {
+        if (connection->isWriteShutdown)
+            ++closing;
+        else if (connection->answerQueue.unansweredCount() > 0)
+            ++awaiting;
+        else if (connection->isOwedAnswers())
+            ++unfetched;
+        else if (connection->tcp->hasUnreadInput())
+            ++unread;
+        else if (connection->incompleteCommandBytes > 0)
+            ++incomplete;
+        else
+            ++inUse;
     }
-    if (!isStopped()) context_.timers.schedule(now + kStopPollInterval, [this] { continuePlannedStop(); });
+    const Metrics &metrics = context_.metrics;
+    context_.log.info(
+        "stop: after ", toMilliseconds(now - stop_->begunAt()), " ms ", connections_.size(),
+        " connections are left (", awaiting, " await answers, ", unfetched, " have answers to fetch, ",
+        unread, " have unread input, ", incomplete, " sent half a command, ", inUse, " are not drained yet, ",
+        closing, " are ended and not closed by the client), ", pendingCalls_.size(), " calls pending; ",
+        metrics.stopConnectionsEnded, " connections drained, ", metrics.stopConnectionsCut, " cut, ",
+        metrics.stopCallsRefused, " calls refused, ", metrics.stopCallsErrored, " answered as errored");
 }
 
 }  // namespace arrowstile
--- a/src/net/core/metrics.cpp
+++ b/src/net/core/metrics.cpp
@@ -46,6 +46,16 @@
     for (const auto &[name, value] : lines) {
         text.append(name).append(":").append(std::to_string(value)).append("\r\n");
     }
+    const std::pair<const char *, std::uint64_t> stopLines[] = {
+        {"stop_calls_refused", stopCallsRefused},
+        {"stop_calls_errored", stopCallsErrored},
+        {"stop_connections_ended", stopConnectionsEnded},
+        {"stop_connections_cut", stopConnectionsCut},
+    };
+    for (const auto &[name, value] : stopLines) {
+        if (value == 0) continue;
+        text.append(name).append(":").append(std::to_string(value)).append("\r\n");
+    }
     for (std::size_t reason = 0; reason < kStartRefusalCount; ++reason) {
         if (startRefusals[reason] == 0) continue;
         text.append("tries_refused_").append(toString(static_cast<StartRefusal>(reason)));
--- a/src/net/core/metrics.hpp
+++ b/src/net/core/metrics.hpp
@@ -31,6 +31,12 @@
     std::uint64_t answersNotHeld = 0;    ///< calls errored because no memory was left for a worker's answer
     std::uint64_t callsAbandoned = 0;    ///< calls whose client disconnected before the final answer
 
+    // These have no line in toText() as long as they are 0.
+    std::uint64_t stopCallsRefused = 0;  ///< calls refused by a planned stop; in callsRateLimited too
+    std::uint64_t stopCallsErrored = 0;  ///< pending calls answered by a planned stop; in callsErrored too
+    std::uint64_t stopConnectionsEnded = 0;  ///< connections that a planned stop has drained
+    std::uint64_t stopConnectionsCut = 0;    ///< closed at its end though answers were not fetched
+
     // All metrics of tries include probes.
     std::uint64_t triesSent = 0;  ///< queued for a connection
     std::uint64_t triesAnswered = 0;
--- a/src/net/core/pending_calls.cpp
+++ b/src/net/core/pending_calls.cpp
@@ -3,6 +3,12 @@
 #include <utility>
 
 namespace arrowstile {
+namespace {
+
+/// Short answers that are ready at once share a slot up to this size.
+constexpr std::size_t kMaxJoinedAnswerBytes = 1024;
+
+}  // namespace
 
 AnswerSlot AnswerQueue::reserveSlot() {
     answers_.emplace_back();
@@ -20,6 +26,17 @@
     return true;
 }
 
+void AnswerQueue::appendReady(std::string_view text) {
+    const bool mayJoin = !answers_.empty() && answers_.back() &&
+                         answers_.back()->size() + text.size() <= kMaxJoinedAnswerBytes;
+    if (!mayJoin) {
+        fillSlot(reserveSlot(), std::string(text));
+        return;
+    }
+    *answers_.back() += text;
+    answerBytes_ += text.size();
+}
+
 void AnswerQueue::popReady(std::string &out, std::size_t maxBytes) {
     while (hasReady() && out.size() < maxBytes) {
         out += *answers_.front();
--- a/src/net/core/pending_calls.hpp
+++ b/src/net/core/pending_calls.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "api_call.hpp"
@@ -26,6 +27,9 @@
     /// Sets the encoded answer of a slot. Returns false without effect if the slot has one already or was
     /// never reserved, so that each command is answered once.
     bool fillSlot(AnswerSlot slot, std::string text);
+    /// Adds an answer that is ready when its command is read. Takes a slot only if the last one has no answer
+    /// yet, or is full: many short answers take up little memory.
+    void appendReady(std::string_view text);
     /// Appends to `out` the answers up to the first slot without one, and removes them from the queue. Stops
     /// when `out` holds `maxBytes` or more.
     void popReady(std::string &out, std::size_t maxBytes);
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -97,10 +97,7 @@
     context_.log.info("counters\n", context_.metrics.toText());
 }
 
-void Gateway::stop() {
-    context_.log.info("stopping");
-    clients_.beginPlannedStop();
-}
+void Gateway::stop() { clients_.beginPlannedStop(); }
 
 /// Reads the start document again and takes over its addresses of discovery, the counter and the peers.
 /// Requests in flight to the counter end on their present connections. A document that can't be used changes
