A planned stop accepts all clients that wait when its listener closes

Clients that had connected while the process was held up for 0.15 s met a reset with their command unread.

Cause: when the listener closed, 64 connections were accepted after the 64 of that iteration; the rest of the queue was reset, and so were clients that waited for room. The log has a last line when a stop is complete.

--- a/include/arrowstile/planned_stop.hpp
+++ b/include/arrowstile/planned_stop.hpp
@@ -21,6 +21,8 @@
     Timestamp drainStart(Timestamp acceptedAt) const;
     /// Whether no new connection is accepted any more, if the last one came at `lastAcceptedAt`.
     bool mustCloseListener(Timestamp now, Timestamp lastAcceptedAt) const;
+    /// Whether that is so even if clients wait for which there is no room yet.
+    bool mayLeaveClientsWaiting(Timestamp now) const;
     /// Whether the calls that are still pending have to be answered now, because the process ends before
     /// their clients stop waiting.
     bool mustAnswerPendingCalls(Timestamp now) const;
--- a/src/net/client_connections.cpp
+++ b/src/net/client_connections.cpp
@@ -47,10 +47,9 @@
                                       });
 }
 
-/// Stops to listen. Clients that the system has accepted by now may have sent calls, so they are taken in.
+/// Stops to listen. Clients that were not accepted find their connections reset.
 void ClientConnections::closeListener() {
     if (!listener_) return;
-    listener_->acceptWaiting();
     listener_.reset();
     if (deferredClient_) ::close(deferredClient_->descriptor);
     deferredClient_.reset();
--- a/src/net/client_connections.hpp
+++ b/src/net/client_connections.hpp
@@ -44,6 +44,8 @@
     /// Begins a planned stop: for a while new clients are still accepted and served, then each connection is
     /// drained (see ConnectionDrain). Repeated calls have no effect.
     void beginPlannedStop();
+    /// Writes to the log how a planned stop went that is complete.
+    void logEndOfStop() const;
     /// Whether a planned stop is complete.
     bool isStopped() const { return stop_ && !listener_ && connections_.empty(); }
 
@@ -72,6 +74,7 @@
     bool mayHaveRunForDepartedClient(const std::string &requestId);
     void closeConnection(ClientId id);
     void continuePlannedStop();
+    void stopAccepting(Timestamp now);
     void continueDrain(Connection &connection, Timestamp now);
     void answerPendingCalls(Timestamp now);
     void endRemainingConnections();
--- a/src/net/client_planned_stop.cpp
+++ b/src/net/client_planned_stop.cpp
@@ -42,11 +42,7 @@
 /// side open after the gateway has closed its own is not waited for beyond kCloseGracePeriod.
 void ClientConnections::continuePlannedStop() {
     const Timestamp now = context_.clock.now();
-    if (listener_ && stop_->mustCloseListener(now, lastAcceptedAt_)) {
-        closeListener();
-        context_.log.info("stop: no connection is accepted any more, ",
-                          toMilliseconds(now - stop_->begunAt()), " ms after its begin");
-    }
+    if (listener_ && stop_->mustCloseListener(now, lastAcceptedAt_)) stopAccepting(now);
     for (const auto &[id, connection] : connections_) continueDrain(*connection, now);
     std::erase_if(connections_, [&](const auto &entry) {
         const Connection &connection = *entry.second;
@@ -54,10 +50,21 @@
     });
     if (stop_->mustAnswerPendingCalls(now)) answerPendingCalls(now);
     if (pendingAnsweredAt_ && stop_->mustEnd(now, *pendingAnsweredAt_)) endRemainingConnections();
-    if (now >= nextStopLogAt_ || isStopped()) logRemainingConnections(now);
+    if (now >= nextStopLogAt_ && !isStopped()) logRemainingConnections(now);
     if (!isStopped()) context_.timers.schedule(now + kStopPollInterval, [this] { continuePlannedStop(); });
 }
 
+/// Closes the listener. Clients that the system has accepted by now may have sent calls, so they are taken in
+/// first.
+void ClientConnections::stopAccepting(Timestamp now) {
+    while (listener_->acceptWaiting()) {
+    }
+    if (deferredClient_ && !stop_->mayLeaveClientsWaiting(now)) return;
+    closeListener();
+    context_.log.info("stop: no connection is accepted any more, ", toMilliseconds(now - stop_->begunAt()),
+                      " ms after its begin");
+}
+
 void ClientConnections::continueDrain(Connection &connection, Timestamp now) {
     connection.continueDrain(now, stop_->drainStart(connection.acceptedAt));
 }
@@ -108,14 +115,20 @@
         else
             ++inUse;
     }
+    context_.log.info("stop: after ", toMilliseconds(now - stop_->begunAt()), " ms ", connections_.size(),
+                      " connections are left (", awaiting, " await answers, ", unfetched,
+                      " have answers to fetch, ", unread, " have unread input, ", incomplete,
+                      " sent half a command, ", inUse, " are not drained yet, ", closing,
+                      " are ended and not closed by the client), ", pendingCalls_.size(), " calls pending, ",
+                      context_.metrics.stopCallsRefused, " calls refused so far");
+}
+
+void ClientConnections::logEndOfStop() const {
     const Metrics &metrics = context_.metrics;
-    context_.log.info(
-        "stop: after ", toMilliseconds(now - stop_->begunAt()), " ms ", connections_.size(),
-        " connections are left (", awaiting, " await answers, ", unfetched, " have answers to fetch, ",
-        unread, " have unread input, ", incomplete, " sent half a command, ", inUse, " are not drained yet, ",
-        closing, " are ended and not closed by the client), ", pendingCalls_.size(), " calls pending; ",
-        metrics.stopConnectionsEnded, " connections drained, ", metrics.stopConnectionsCut, " cut, ",
-        metrics.stopCallsRefused, " calls refused, ", metrics.stopCallsErrored, " answered as errored");
+    context_.log.info("stopped after ", toMilliseconds(context_.clock.now() - stop_->begunAt()),
+                      " ms: ", metrics.stopConnectionsEnded, " connections drained, ",
+                      metrics.stopConnectionsCut, " cut, ", metrics.stopCallsRefused, " calls refused, ",
+                      metrics.stopCallsErrored, " answered as errored");
 }
 
 }  // namespace arrowstile
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -147,7 +147,9 @@
     mustPollBeforeWrite_ = !isInputRecent && workers_.hasQueuedRequests();
     counter_.flush();
     clients_.flush();
-    if (clients_.isStopped()) uv_stop(context_.loop);
+    if (!clients_.isStopped()) return;
+    clients_.logEndOfStop();
+    uv_stop(context_.loop);
 }
 
 /// Tells the engine when the list of workers becomes usable or doubtful. With the first usable list the
--- a/src/net/tcp_listener.cpp
+++ b/src/net/tcp_listener.cpp
@@ -99,7 +99,7 @@
                   [](uv_poll_t *poll, int, int) { static_cast<TcpListener *>(poll->data)->acceptWaiting(); });
 }
 
-void TcpListener::acceptWaiting() {
+bool TcpListener::acceptWaiting() {
     for (int remaining = kMaxAcceptsAtOnce; remaining > 0 && !isPaused_; --remaining) {
         const int accepted = ::accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (accepted >= 0) {
@@ -107,15 +107,17 @@
             continue;
         }
         if (concernsOneConnection(errno)) continue;
-        if (errno == EAGAIN || errno == EWOULDBLOCK) return;
+        if (errno == EAGAIN || errno == EWOULDBLOCK) return false;
         timers_.cancel(retryTimer_);
         isRetryScheduled_ = true;
         retryTimer_ = timers_.schedule(clock_.now() + kRetryDelay, [this] {
             isRetryScheduled_ = false;
             updatePolling();
         });
-        return updatePolling();
+        updatePolling();
+        return false;
     }
+    return !isPaused_;
 }
 
 }  // namespace arrowstile
--- a/src/net/tcp_listener.hpp
+++ b/src/net/tcp_listener.hpp
@@ -29,8 +29,8 @@
 
     /// Stops accepting, or goes on. Connections that come meanwhile wait in the system.
     void setPaused(bool paused);
-    /// Accepts the connections that wait now, unless paused.
-    void acceptWaiting();
+    /// Accepts the connections that wait now, unless paused. Returns whether more may wait.
+    bool acceptWaiting();
 
 private:
     struct PollCloser {
--- a/src/planned_stop.cpp
+++ b/src/planned_stop.cpp
@@ -16,6 +16,8 @@
 constexpr Duration kNoNewClientPeriod = milliseconds(200);
 /// The listener is closed at this time even if clients still connect.
 constexpr Duration kMaxAcceptPeriod = milliseconds(600);
+/// For clients that wait for room then, the listener stays open until this time.
+constexpr Duration kMaxWaitForRoom = milliseconds(700);
 
 /// The process may be killed 0.7 s after the longest client timeout, which counts as 3 s at most.
 constexpr Duration kMaxClientTimeout = milliseconds(3000);
@@ -53,6 +55,8 @@
     return stoppingFor >= kMaxAcceptPeriod || now - lastAcceptedAt >= kNoNewClientPeriod;
 }
 
+bool PlannedStop::mayLeaveClientsWaiting(Timestamp now) const { return now - begunAt_ >= kMaxWaitForRoom; }
+
 bool PlannedStop::mustAnswerPendingCalls(Timestamp now) const { return now >= answerPendingAt_; }
 
 bool PlannedStop::mustEnd(Timestamp now, Timestamp answeredAt) const {
--- a/tests/test_gateway.cpp
+++ b/tests/test_gateway.cpp
@@ -598,6 +598,28 @@
     CHECK(client.read(kUntilClosed) == "-ERR failed\r\n<closed>");
 }
 
+// Guards against clients that have connected while the process was held up, and whose connections are reset
+// with a command on them because only some are accepted when the listener closes.
+TEST_CASE("issue 50: clients that wait to be accepted when the listener closes are served") {
+    constexpr int kClientCount = 200;
+    GatewayFixture fixture({.maxSockets = 1024});
+    fixture.makeReadyAndConnect();
+    std::signal(SIGUSR2, [](int) { ::usleep(150000); });
+    const auto stopBegunAt = std::chrono::steady_clock::now();
+    fixture.beginStop();
+    std::this_thread::sleep_until(stopBegunAt + milliseconds(480));
+    ::pthread_kill(fixture.gatewayThread.native_handle(), SIGUSR2);
+    std::this_thread::sleep_for(milliseconds(10));
+    std::vector<Socket> clients;
+    for (int remaining = kClientCount; remaining > 0; --remaining) {
+        clients.push_back(Socket::connect(fixture.gatewayPort));
+        clients.back().write("*1\r\n$4\r\nPING\r\n");
+    }
+    int servedCount = 0;
+    for (const Socket &client : clients) servedCount += client.read() == "+PONG\r\n";
+    CHECK(servedCount == kClientCount);
+}
+
 TEST_CASE("a planned stop answers pending calls, serves late clients and ends although a client stays") {
     GatewayFixture fixture;
     const Socket idleClient = fixture.makeReadyAndConnect();
--- a/tests/test_planned_stop.cpp
+++ b/tests/test_planned_stop.cpp
@@ -67,6 +67,8 @@
     CHECK(stop.mustCloseListener(at(500), at(300)));
     CHECK(!stop.mustCloseListener(at(590), at(400)));
     CHECK(stop.mustCloseListener(at(600), at(599)));
+    CHECK(!stop.mayLeaveClientsWaiting(at(690)));
+    CHECK(stop.mayLeaveClientsWaiting(at(700)));
 }
 
 TEST_CASE("a connection that is accepted late is served before it is drained") {
