--- a/tests/rehearsal/late_connections.py
+++ b/tests/rehearsal/late_connections.py
@@ -14,7 +14,7 @@
 import struct
 import time
 
-from long_answers import ANSWER_SLACK_S, CLIENT_TIMEOUT_MS, HOST, WORKERS, Rehearsal, read_command, run_rehearsal
+from gateway_rehearsal import ANSWER_SLACK_S, CLIENT_TIMEOUT_MS, HOST, WORKERS, Rehearsal, read_command, run_rehearsal
 from loopback import bulk
 
 RULE_SLACK_S = 0.05  # that the protocol page adds to each limit on sockets
--- a/tests/rehearsal/memory_bounds.py
+++ b/tests/rehearsal/memory_bounds.py
@@ -17,7 +17,7 @@
 import sys
 import time
 
-from long_answers import ANSWER_SLACK_S, CLIENT_TIMEOUT_MS, HOST, Rehearsal, read_command, run_rehearsal
+from gateway_rehearsal import ANSWER_SLACK_S, CLIENT_TIMEOUT_MS, HOST, Rehearsal, read_command, run_rehearsal
 from loopback import bulk, socket_memory_bytes
 
 LONG_BYTES = 64 * 1024
--- a/tests/rehearsal/planned_stop.py
+++ b/tests/rehearsal/planned_stop.py
@@ -19,7 +19,7 @@
 import subprocess
 import time
 
-from long_answers import HOST, Rehearsal, run_rehearsal
+from gateway_rehearsal import HOST, Rehearsal, run_rehearsal
 from loopback import bulk
 
 MAX_COUNTED_DEADLINE_S = 3.0
@@ -127,6 +127,7 @@
     silent_workers_share = 0.0
     signal_delays_s = (0.0,)
     hold_ups = 0
+    hold_ups_before_end_s = 10.0  # not earlier than so long before the kill
     is_discovery_silent = False
     hang_up_before_s = None  # SIGHUP comes so long before SIGTERM
     drain_after_s = None  # after SIGTERM, a quarter of the workers
@@ -270,7 +271,7 @@
         if self.drain_after_s is not None:
             self.loop.call_later(self.drain_after_s, self.begin_drains)
         for _ in range(self.hold_ups):
-            self.loop.call_later(self.draw.uniform(0, end - HOLD_UP_S), self.hold_up)
+            self.loop.call_later(self.draw.uniform(max(0, end - self.hold_ups_before_end_s), end - HOLD_UP_S), self.hold_up)
         return self.terminated_at + end
 
     async def play(self, directory):
@@ -485,11 +486,19 @@
     silent_workers_share = 1 / 3
 
 
+class HeldUpAtEnd(AllSilent):
+    """All workers are silent, and the process is held up about when it answers the pending calls and ends."""
+
+    hold_ups = 1
+    hold_ups_before_end_s = 0.35
+
+
 MIXED_PLAYS = [Interval, Steady, Refill, One, Halves, Trickle]
 PLAYS = {"interval": Interval, "steady": Steady, "refill": Refill, "one": One, "slow-workers": SlowWorkers,
          "silent": Silent, "silent-one": SilentOne, "all-silent": AllSilent, "halves": Halves, "trickle": Trickle, "burst": Burst, "burst-silent": BurstSilent,
          "connecting": Connecting, "long-answers": LongAnswers, "early": EarlyStop, "series": Series, "hang-up": HangUp,
-         "held-up": HeldUp, "held-up-silent": HeldUpSilent}
+         "held-up": HeldUp, "held-up-silent": HeldUpSilent,
+         "held-up-at-end": HeldUpAtEnd}
 
 
 class Stops:
--- a/tests/rehearsal/soak.py
+++ b/tests/rehearsal/soak.py
@@ -33,8 +33,8 @@
 MOVE_GRACE_S = 4.0  # after SIGHUP
 LEAVE_GRACE_S = 0.1
 ANSWER_SLACK_S = 0.5
-BUSY_CLIENTS = 4
-MAX_OPEN_CALLS = 16
+BUSY_CLIENTS = 2
+MAX_OPEN_CALLS = 64
 MAX_UNREAD_S = 0.1  # a call that was written earlier does not cross the end of its connection
 CALL_TIMEOUT_S = 3.0
 KILL_DELAY_S = CALL_TIMEOUT_S + 0.7
@@ -228,7 +228,7 @@
         self.hold_up_s = HOLD_UP_S if "stop" in faults and self.share == 1 else 0.0
         self.faults = [(self.quiet_s + draw.uniform(0.5, 5.0), fault) for fault in faults]
         self.seconds = self.quiet_s + 14.0
-        self.call_interval_s = draw.choice([None, None, 0.02, 0.006])  # of the first BUSY_CLIENTS
+        self.call_interval_s = draw.choice([None, None, 0.006, 0.003])  # of the first BUSY_CLIENTS
 
     def __str__(self):
         return ", ".join(f"{name} {value}" for name, value in vars(self).items())
@@ -521,7 +521,9 @@
             call.worker_count += 1
             if call.is_unsafe and call.worker_count > 1:
                 self.breach("duplicate", f"call {call_id.decode()} at a second worker")
-        self.loop.after(self.draw.uniform(0.002, 0.03), lambda: send(connection, b"*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n"))
+        # Longer than the time between the calls of a busy client, so that its connection never rests.
+        least_delay_s = 0.0 if self.day.call_interval_s is None else 0.01
+        self.loop.after(least_delay_s + self.draw.uniform(0.002, 0.03), lambda: send(connection, b"*3\r\n$2\r\nhi\r\n$-1\r\n$-1\r\n"))
 
     # Calls
 
