A drain does not end a connection whose reading was paused before it has read what waited

Found by reading: where a pause began before the drain and nothing of the waiting commands was held in memory, the drain could end the connection within its first 80 ms, over commands that had lain unread since the pause began. It now refuses them first, like those that are held.

--- a/include/arrowstile/planned_stop.hpp
+++ b/include/arrowstile/planned_stop.hpp
@@ -49,8 +49,8 @@
     bool isAwaitingAnswers = false;  ///< a command that was read has no answer yet
     /// An answer is still to come, or was not confirmed by the client's machine.
     bool isOwedAnswers = false;
-    /// Commands were read that wait for memory before they can be handled.
-    bool hasHeldInput = false;
+    /// Commands wait for memory before they can be handled, read or unread, maybe for long.
+    bool isReadPaused = false;
     bool hasReadAllInput = false;  ///< everything that had arrived was read when the sockets were read last
 };
 
--- a/src/net/client_connection.cpp
+++ b/src/net/client_connection.cpp
@@ -154,8 +154,7 @@
 
 void ClientConnections::Connection::continueDrain(Timestamp now, Timestamp startAt) {
     if (isEnding) return;
-    const bool hasHeldInput = isReadPaused && tcp->unconsumedBytes() > 0;
-    const DrainState state{answerQueue.unansweredCount() > 0, isOwedAnswers(), hasHeldInput,
+    const DrainState state{answerQueue.unansweredCount() > 0, isOwedAnswers(), isReadPaused,
                            tcp->hasReadAllInput()};
     const DrainStep step = drain.next(now, startAt, state);
     if (std::exchange(drainStep, step) == step) return;
--- a/src/planned_stop.cpp
+++ b/src/planned_stop.cpp
@@ -70,12 +70,12 @@
 }
 
 DrainStep ConnectionDrain::next(Timestamp now, Timestamp startAt, const DrainState &state) {
-    const bool mayEnd = !state.isOwedAnswers && !state.hasHeldInput;
+    const bool mayEnd = !state.isOwedAnswers && !state.isReadPaused;
     const Duration sinceEntered = now - since_;
     switch (step_) {
         case DrainStep::takeCommands:
             if (now < startAt) return step_;
-            if (state.hasHeldInput || !state.hasReadAllInput) return enter(now, DrainStep::refuseCommands);
+            if (state.isReadPaused || !state.hasReadAllInput) return enter(now, DrainStep::refuseCommands);
             return enter(now, mayEnd ? DrainStep::end : DrainStep::leaveUnread);
         case DrainStep::leaveUnread:
             if (mayEnd && sinceEntered <= kMaxUnreadAtEnd) return enter(now, DrainStep::end);
--- a/tests/test_planned_stop.cpp
+++ b/tests/test_planned_stop.cpp
@@ -118,11 +118,12 @@
            {680, kResting, DrainStep::end}});
 }
 
-TEST_CASE("input that was not read when the drain begins is read before the end, held commands are refused") {
+TEST_CASE(
+    "input that was not read when the drain begins is read before the end, those of a pause are refused") {
     check({{500, DrainState{}, DrainStep::refuseCommands}, {510, kResting, DrainStep::end}});
-    const DrainState held{.isAwaitingAnswers = true, .isOwedAnswers = true, .hasHeldInput = true};
+    const DrainState held{.isAwaitingAnswers = true, .isOwedAnswers = true, .isReadPaused = true};
     check({{500, held, DrainStep::refuseCommands},
            {800, held, DrainStep::refuseCommands},
-           {810, DrainState{.hasHeldInput = true, .hasReadAllInput = true}, DrainStep::leaveUnread},
+           {810, DrainState{.isReadPaused = true, .hasReadAllInput = true}, DrainStep::leaveUnread},
            {820, kResting, DrainStep::end}});
 }
