memory_bounds.py: a client sees the end of its connection before it writes

The client asked its event loop whether the connection had ended, which has not got to it when the play has just built 16,000 requests. It now asks the system.

--- a/tests/rehearsal/memory_bounds.py
+++ b/tests/rehearsal/memory_bounds.py
@@ -36,6 +36,16 @@
 KILL_AFTER_S = 3
 
 
+def has_ended(writer):
+    """Whether the end of a connection has come to this machine, also if the event loop has not got to it yet."""
+    descriptor = writer.get_extra_info("socket").fileno()
+    if descriptor < 0:
+        return True
+    poll = select.poll()
+    poll.register(descriptor, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 class MemoryRehearsal(Rehearsal):
     """A play with `options.connections` connections of clients that take up memory."""
 
@@ -93,7 +103,7 @@
         reader, writer = await self.connect()
         end = time.monotonic() + self.seconds
         while time.monotonic() < end:
-            if self.is_crowded and reader.at_eof():
+            if self.is_crowded and has_ended(writer):
                 reader, writer = await self.connect()
             ident, command = self.call()
             started_at = time.monotonic()
